--- /dev/null
+++ b/test.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Runs every test with the race detector. Tests listed in KNOWN-RED.txt are
+# printed and passed over; their lines start with "test: " and a test name.
+set -euo pipefail
+cd "$(dirname "$0")"
+
+skip=""
+if [ -s KNOWN-RED.txt ]; then
+  echo "known failing tests, passed over:"
+  cat KNOWN-RED.txt
+  names=$(sed -n 's/^test: \([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|')
+  [ -z "$names" ] || skip="-skip=^($names)\$"
+fi
+go test -race -timeout 9m ${skip:+"$skip"} ./...
