Parse, check and index the environment's document

The document decides which leaves exist and what they can bear, so a node must refuse a bad one whole and say where it is wrong. encoding/json alone accepts duplicate keys, field names in another case and null, and stops at the first error; package jsonc therefore compares the syntax tree of hujson with the Go type first and reports every problem with its line and field. Nesting is bounded before hujson runs, because its parser recurses once a level.

A service may list its shards, so that a shard that has lost its last leaf is an error and not a smaller denominator of coverage.

Ruled out: paths recorded for each value while decoding, since lines are needed only for problems and can be looked up then.

--- /dev/null
+++ b/internal/document/jsonc/decode.go
@@ -0,0 +1,106 @@
+// Package jsonc decodes JSON with comments strictly: every field must be known
+// and of the right type, no key may stand twice, and each problem is reported
+// with its line and field.
+package jsonc
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/tailscale/hujson"
+)
+
+// maxDepth is the deepest nesting of objects and arrays that Decode accepts.
+const maxDepth = 64
+
+// Decode fills value, a pointer to a struct, from data. The report lists every
+// problem found; the caller may add those of its own checks.
+func Decode(data []byte, maxBytes int, value any) *Report {
+	report := &Report{}
+	if len(data) > maxBytes {
+		report.Add(CodeTooLarge, "", "has %d bytes, the limit is %d", len(data), maxBytes)
+		return report
+	}
+	root, ok := report.parse(data)
+	if !ok {
+		return report
+	}
+	report.source = &source{data: data, root: root}
+	w := walker{report: report}
+	w.walk(&root, reflect.TypeOf(value).Elem(), "")
+	if w.mistyped {
+		return report
+	}
+	report.unmarshal(data, value)
+	return report
+}
+
+// parse builds the syntax tree, or reports why there is none.
+func (r *Report) parse(data []byte) (hujson.Value, bool) {
+	if !utf8.Valid(data) {
+		r.addAt(CodeSyntax, invalidUTF8Line(data), "is not valid UTF-8")
+		return hujson.Value{}, false
+	}
+	if line := tooDeepLine(data); line > 0 {
+		r.addAt(CodeTooDeep, line, fmt.Sprintf("nests deeper than %d levels", maxDepth))
+		return hujson.Value{}, false
+	}
+	root, err := hujson.Parse(data)
+	if err != nil {
+		line, message := splitSyntaxError(err)
+		r.addAt(CodeSyntax, line, message)
+		return hujson.Value{}, false
+	}
+	return root, true
+}
+
+// addAt records a problem at a line without a path.
+func (r *Report) addAt(code Code, line int, message string) {
+	r.err.Problems = append(r.err.Problems, Problem{Code: code, Line: line, Message: message})
+}
+
+func (r *Report) unmarshal(data []byte, value any) {
+	standard, err := hujson.Standardize(data)
+	if err != nil {
+		r.Add(CodeSyntax, "", "%v", err)
+		return
+	}
+	err = json.Unmarshal(standard, value)
+	if err == nil {
+		r.decoded = true
+		return
+	}
+	line := 0
+	var typeError *json.UnmarshalTypeError
+	if errors.As(err, &typeError) {
+		line = lineAt(data, int(typeError.Offset))
+	}
+	r.addAt(CodeWrongType, line, err.Error())
+}
+
+// splitSyntaxError takes the line out of a parser error, whose text starts
+// with "hujson: line 3, column 4: ".
+func splitSyntaxError(err error) (line int, message string) {
+	message = strings.TrimPrefix(err.Error(), "hujson: ")
+	column := 0
+	if n, _ := fmt.Sscanf(message, "line %d, column %d:", &line, &column); n != 2 {
+		return 0, message
+	}
+	_, rest, _ := strings.Cut(message, ": ")
+	return line, fmt.Sprintf("column %d: %s", column, rest)
+}
+
+func invalidUTF8Line(data []byte) int {
+	for offset := 0; offset < len(data); {
+		r, size := utf8.DecodeRune(data[offset:])
+		if r == utf8.RuneError && size == 1 {
+			return lineAt(data, offset)
+		}
+		offset += size
+	}
+	return 0
+}
--- a/internal/document/types.go
+++ b/internal/document/types.go
@@ -35,9 +35,12 @@
 
 // Service is one set of shards that callers query by name.
 type Service struct {
-	Name      string     `json:"name"`
-	Policy    Policy     `json:"policy"`
-	Leaf      LeafLimits `json:"leaf"`
+	Name   string     `json:"name"`
+	Policy Policy     `json:"policy"`
+	Leaf   LeafLimits `json:"leaf"`
+	// Shards lists every shard that a complete answer covers. If it is empty,
+	// the shards are those that the leaves name.
+	Shards    []string   `json:"shards,omitempty"`
 	Instances []Instance `json:"instances"`
 }
 
@@ -76,6 +79,16 @@
 	return time.Duration(p.DeadlineMS) * time.Millisecond
 }
 
+// Ways to hedge, to retry and to route.
+const (
+	HedgeBudgeted  = "budget"
+	HedgeOff       = "off"
+	RetryBudgeted  = "budget"
+	RetryUnbounded = "unbounded"
+	RoutingHolder  = "holder"
+	RoutingDirect  = "direct"
+)
+
 // LeafLimits bounds what each leaf of a service can bear.
 type LeafLimits struct {
 	// Slots is the greatest number of concurrent requests.
