--- /dev/null
+++ b/internal/settings/defaults.go
@@ -0,0 +1,32 @@
+package settings
+
+const (
+	kibibyte = 1 << 10
+	mebibyte = 1 << 20
+)
+
+// Defaults returns settings with every default filled in. They lack the names,
+// addresses and URLs of a host, which have no default.
+func Defaults() *Settings {
+	return &Settings{
+		Cell: "default",
+		Stop: Stop{BalancerLagMS: 5_000},
+		Limits: Limits{
+			MaxBodyBytes:   1 * mebibyte,
+			MaxHeaderBytes: 16 * kibibyte,
+			MaxAnswerBytes: 4 * mebibyte,
+			MaxFrameBytes:  8 * mebibyte,
+			MaxRequests:    2_000,
+			ReadTimeoutMS:  10_000,
+			WriteTimeoutMS: 60_000,
+			IdleTimeoutMS:  120_000,
+		},
+	}
+}
+
+// setDerived fills the fields whose defaults are other fields.
+func (s *Settings) setDerived() {
+	if s.PeerAdvertise == "" {
+		s.PeerAdvertise = s.PeerListen
+	}
+}
