--- a/internal/document/index_builder.go
+++ b/internal/document/index_builder.go
@@ -2,11 +2,14 @@
 
 // NewIndex builds the index of a document that Parse has accepted.
 func NewIndex(doc *Document) *Index {
+	numInstances, numLeaves := doc.size()
 	b := indexBuilder{
 		index: &Index{
+			instances:   make([]*InstanceEntry, 0, numInstances),
+			leaves:      make([]LeafEntry, 0, numLeaves),
 			customers:   make(map[string]map[string]*ServiceEntry, len(doc.Deployments)),
-			leafIDs:     make(map[string]LeafID),
-			byInstance:  make(map[string]*InstanceEntry),
+			leafIDs:     make(map[string]LeafID, numLeaves),
+			byInstance:  make(map[string]*InstanceEntry, numInstances),
 			dataCentres: make(map[string]dataCentreEntry, len(doc.DataCentres)),
 			stopped:     stringSet(doc.StoppedHosts),
 		},
@@ -19,6 +22,19 @@
 	return b.index
 }
 
+// size counts the instances and leaves of all services.
+func (d *Document) size() (instances, leaves int) {
+	for _, deployment := range d.Deployments {
+		for _, service := range deployment.Services {
+			instances += len(service.Instances)
+			for _, instance := range service.Instances {
+				leaves += len(instance.Leaves)
+			}
+		}
+	}
+	return instances, leaves
+}
+
 // indexBuilder fills an index in document order.
 type indexBuilder struct {
 	index   *Index
--- a/internal/document/jsonc/decode.go
+++ b/internal/document/jsonc/decode.go
@@ -4,6 +4,7 @@
 package jsonc
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -49,7 +50,8 @@
 		r.addAt(CodeTooDeep, line, fmt.Sprintf("nests deeper than %d levels", maxDepth))
 		return hujson.Value{}, false
 	}
-	root, err := hujson.Parse(data)
+	// Standardize later overwrites the comments of the bytes it was parsed from.
+	root, err := hujson.Parse(bytes.Clone(data))
 	if err != nil {
 		line, message := splitSyntaxError(err)
 		r.addAt(CodeSyntax, line, message)
@@ -64,12 +66,9 @@
 }
 
 func (r *Report) unmarshal(data []byte, value any) {
-	standard, err := hujson.Standardize(data)
-	if err != nil {
-		r.Add(CodeSyntax, "", "%v", err)
-		return
-	}
-	err = json.Unmarshal(standard, value)
+	// Standardize keeps offsets, so lines can still be looked up in the tree.
+	r.source.root.Standardize()
+	err := json.Unmarshal(r.source.root.Pack(), value)
 	if err == nil {
 		r.decoded = true
 		return
--- a/internal/document/parse_test.go
+++ b/internal/document/parse_test.go
@@ -108,6 +108,14 @@
 	require.True(t, jsonc.HasCode(err, jsonc.CodeTooDeep))
 }
 
+func TestLoadLeavesBytesUnchanged(t *testing.T) {
+	data := []byte(small)
+	loaded, err := Load(data)
+	require.NoError(t, err)
+	require.Equal(t, small, string(data))
+	require.Equal(t, Identity{Revision: 7, Digest: Digest([]byte(small))}, loaded.Identity)
+}
+
 func TestParseFillsDefaults(t *testing.T) {
 	doc, err := Parse([]byte(small))
 	require.NoError(t, err)
