Place the slots and connections of leaves on hosts

Every host has to compute the same owners from the document and the host list, because no store or vote can tell it.

Ranking both owners in one order was ruled out: the loss of the first owner would renumber the second one's share.

Cells weigh the same whatever their size, so that a host that comes or goes moves no group to another cell.

--- /dev/null
+++ b/internal/placement/ring.go
@@ -0,0 +1,143 @@
+package placement
+
+import (
+	"slices"
+	"strings"
+)
+
+// node is a host or a cell with its precomputed hash.
+type node struct {
+	host   Host
+	hash   uint64
+	weight float64
+}
+
+// cell is the set of hosts with the same label.
+type cell struct {
+	name    string
+	hash    uint64
+	nodes   []node // without leaving hosts, in the order of names
+	regions map[string]bool
+}
+
+// newCells groups hosts by cell. Cells whose hosts are all leaving are left
+// out.
+func newCells(hosts []Host) []*cell {
+	byName := make(map[string]*cell)
+	var cells []*cell
+	for _, h := range hosts {
+		if h.Leaving {
+			continue
+		}
+		c := byName[h.Cell]
+		if c == nil {
+			c = &cell{name: h.Cell, hash: hashString(h.Cell), regions: make(map[string]bool)}
+			byName[h.Cell] = c
+			cells = append(cells, c)
+		}
+		c.nodes = append(c.nodes, node{host: h, hash: hashString(h.Name), weight: h.EffectiveWeight()})
+		c.regions[h.Region] = true
+	}
+	slices.SortFunc(cells, func(a, b *cell) int { return strings.Compare(a.name, b.name) })
+	return cells
+}
+
+// chooseCell returns the cell of a group, nil if there are no cells. Cells with
+// a host in the region come first. All cells weigh the same, so that a host
+// that comes or goes moves no group to another cell.
+func chooseCell(cells []*cell, key uint64, region string) *cell {
+	var best *cell
+	var bestScore float64
+	var bestLocal bool
+	for _, c := range cells {
+		local := c.regions[region]
+		if bestLocal && !local {
+			continue
+		}
+		s := score(key, c.hash, saltCell, 1)
+		if best == nil || (local && !bestLocal) || s > bestScore {
+			best, bestScore, bestLocal = c, s, local
+		}
+	}
+	return best
+}
+
+// candidates are the hosts of one group.
+type candidates struct {
+	cell *cell
+	// owners and deputies hold one host per share.
+	owners   [maxShares]string
+	deputies [maxShares]string
+	// single is the deputy of share 0 when it is the only share.
+	single string
+}
+
+// rank returns the nodes of c from the greatest to the least score.
+func (c *cell) rank(key, salt uint64) []node {
+	type scored struct {
+		node
+		score float64
+	}
+	all := make([]scored, len(c.nodes))
+	for i, n := range c.nodes {
+		all[i] = scored{n, score(key, n.hash, salt, n.weight)}
+	}
+	slices.SortStableFunc(all, func(a, b scored) int {
+		switch {
+		case a.score > b.score:
+			return -1
+		case a.score < b.score:
+			return 1
+		}
+		return 0
+	})
+	ranked := make([]node, len(all))
+	for i, s := range all {
+		ranked[i] = s.node
+	}
+	return ranked
+}
+
+// choose returns the owners and deputies of a group in c. Each share has its
+// own ranking, so that the loss of one share's owner rarely moves the other
+// share, and the deputy is then usually the next owner.
+func (c *cell) choose(key uint64) candidates {
+	first := c.rank(key, shareSalts[0])
+	second := c.rank(key, shareSalts[1])
+	out := candidates{cell: c}
+	owner := first[0].host
+	out.owners[0] = owner.Name
+	out.single = firstOther(first, owner.Name, "")
+	if len(first) == 1 {
+		return out
+	}
+	out.owners[1] = secondOwner(second, owner)
+	if len(first) == 2 {
+		out.deputies = [maxShares]string{out.owners[1], out.owners[0]}
+		return out
+	}
+	out.deputies[0] = firstOther(first, out.owners[0], out.owners[1])
+	out.deputies[1] = firstOther(second, out.owners[0], out.owners[1])
+	return out
+}
+
+// secondOwner returns the best ranked host in another data centre than the
+// first owner's, or the best other host if there is none.
+func secondOwner(ranked []node, owner Host) string {
+	for _, n := range ranked {
+		if n.host.DataCentre != owner.DataCentre {
+			return n.host.Name
+		}
+	}
+	return firstOther(ranked, owner.Name, "")
+}
+
+// firstOther returns the best ranked host that is neither a nor b, or "".
+func firstOther(ranked []node, a, b string) string {
+	for _, n := range ranked {
+		if n.host.Name != a && n.host.Name != b {
+			return n.host.Name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/placement/shares.go
@@ -0,0 +1,75 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/redwingshelf/redwingshelf/internal/document"
+)
+
+// routingDirect is the document's value for a static share per host.
+const routingDirect = "direct"
+
+// shares divides the limits of a service's leaves among the candidates. All
+// leaves of a group share the result.
+func (c *candidates) shares(s *document.Service) []Share {
+	if s.Policy.Routing == routingDirect {
+		return c.directShares(s.Leaf)
+	}
+	return c.holderShares(s.Leaf)
+}
+
+func (c *candidates) holderShares(limits document.LeafLimits) []Share {
+	n := shareCount(limits.Slots, limits.Connections, len(c.cell.nodes))
+	shares := make([]Share, n)
+	for i := range shares {
+		deputy := c.deputies[i]
+		if n == 1 {
+			deputy = c.single
+		}
+		own, dep := connectionAllowance(divide(limits.Connections, n, i), deputy != "")
+		if dep == 0 {
+			deputy = ""
+		}
+		shares[i] = Share{
+			Owner:             c.owners[i],
+			Deputy:            deputy,
+			Slots:             divide(limits.Slots, n, i),
+			Connections:       own,
+			DeputyConnections: dep,
+		}
+	}
+	return shares
+}
+
+// directShares gives every host of the cell a static share. When there are
+// fewer slots or connections than hosts, the rest of the hosts get none.
+func (c *candidates) directShares(limits document.LeafLimits) []Share {
+	n := min(len(c.cell.nodes), limits.Slots, max(1, limits.Connections/seatReserve))
+	shares := make([]Share, 0, n)
+	for _, name := range c.directOwners() {
+		i := len(shares)
+		if i == n {
+			break
+		}
+		own, _ := connectionAllowance(divide(limits.Connections, n, i), false)
+		shares = append(shares, Share{Owner: name, Slots: divide(limits.Slots, n, i), Connections: own})
+	}
+	return shares
+}
+
+// directOwners returns the hosts of the cell with the owners of the shares
+// first.
+func (c *candidates) directOwners() []string {
+	var names []string
+	for _, o := range c.owners {
+		if o != "" {
+			names = append(names, o)
+		}
+	}
+	for _, n := range c.cell.nodes {
+		if !slices.Contains(names, n.host.Name) {
+			names = append(names, n.host.Name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/placement/weights_test.go
@@ -0,0 +1,108 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/redwingshelf/redwingshelf/internal/document"
+)
+
+// Free processor time and free sessions are percentages, never quite zero.
+const fullyFree = 100.0
+
+// loadWeights returns W_i = sum(W) * C_i * S_i / sum(C * S) for free processor
+// time C and free session capacity S.
+func loadWeights(total float64, c, s []float64) []float64 {
+	sum := 0.0
+	for i := range c {
+		sum += c[i] * s[i]
+	}
+	weights := make([]float64, len(c))
+	for i := range c {
+		weights[i] = total * c[i] * s[i] / sum
+	}
+	return weights
+}
+
+// slotSpread returns the coefficient of variation of slots per host.
+func slotSpread(hosts []Host, table *Table) float64 {
+	slots := make(map[string]float64)
+	for _, leaf := range table.Leaves {
+		for _, s := range leaf.Shares {
+			slots[s.Owner] += float64(s.Slots)
+		}
+	}
+	var sum, squares float64
+	for _, h := range hosts {
+		load := slots[h.Name] / h.EffectiveWeight()
+		sum += load
+		squares += load * load
+	}
+	n := float64(len(hosts))
+	mean := sum / n
+	return math.Sqrt(squares/n-mean*mean) / mean
+}
+
+// movedShares returns the fraction of shares whose owner differs.
+func movedShares(a, b *Table) float64 {
+	moved, total := 0, 0
+	for i, leaf := range a.Leaves {
+		for j, s := range leaf.Shares {
+			total++
+			if b.Leaves[i].Shares[j].Owner != s.Owner {
+				moved++
+			}
+		}
+	}
+	return float64(moved) / float64(total)
+}
+
+// TestLoadWeightsMoveShares compares weights recomputed from measured load with
+// static capacity weights: recomputed weights move shares when no host changes.
+func TestLoadWeightsMoveShares(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 11))
+	doc := services(1567, document.LeafLimits{Slots: 2, Connections: 25}, "")
+	for _, size := range []int{6, 600} {
+		hosts := fleet(size, 6)
+		static := plan(t, hosts, doc)
+		loaded := append([]Host(nil), hosts...)
+		c, s := make([]float64, size), make([]float64, size)
+		for i, share := range ownedSlots(hosts, static) {
+			c[i] = fullyFree - min(90, 40*share*(0.9+0.2*rng.Float64()))
+			s[i] = fullyFree - min(90, 50*share*(0.9+0.2*rng.Float64()))
+		}
+		for i, w := range loadWeights(float64(size), c, s) {
+			loaded[i].Weight = w
+		}
+		adaptive := plan(t, loaded, doc)
+		unweighted := append([]Host(nil), hosts...)
+		spread := slotSpread(unweighted, adaptive)
+		moved := movedShares(static, adaptive)
+		t.Logf("%d hosts: spread static %.3f, by load %.3f; moved by one new weighing %.3f; moved by loss of a host %.3f",
+			size, slotSpread(hosts, static), spread, moved, movedShares(static, plan(t, hosts[1:], doc)))
+		if moved == 0 {
+			t.Fatal("a new weighing moved no share")
+		}
+	}
+}
+
+// ownedSlots returns the slots of every host in relation to the mean.
+func ownedSlots(hosts []Host, table *Table) []float64 {
+	index := make(map[string]int)
+	for i, h := range hosts {
+		index[h.Name] = i
+	}
+	owned := make([]float64, len(hosts))
+	total := 0.0
+	for _, leaf := range table.Leaves {
+		for _, s := range leaf.Shares {
+			owned[index[s.Owner]] += float64(s.Slots)
+			total += float64(s.Slots)
+		}
+	}
+	for i := range owned {
+		owned[i] *= float64(len(hosts)) / total
+	}
+	return owned
+}
