Take target addresses from the settings or the host list

The platform's host list carries the addresses of targets, so a second URL for them would be a setting that nothing reads. targets in a settings file goes before the list; one of both is needed.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,18 +37,19 @@
 	Peers []Peer `json:"peers"`
 	// ConfigurationService is the URL at which the document is read and watched.
 	ConfigurationService string `json:"configuration_service"`
-	// HostList is the URL of the platform's list of live and leaving hosts.
-	// Without it only the seed list is used.
+	// HostList is the URL of the platform's list of live and leaving hosts, which
+	// may also give addresses to targets. Without it only the seed list is used.
 	HostList string `json:"host_list"`
-	// Targets gives addresses to targets. Exactly one of Targets and TargetsURL
-	// is set.
+	// Targets gives addresses to targets. They go before those of the host list.
 	Targets Targets `json:"targets"`
-	// TargetsURL is the URL of the platform's list of target addresses.
-	TargetsURL string `json:"targets_url"`
-	Stop       Stop   `json:"stop"`
-	Limits     Limits `json:"limits"`
+	Stop    Stop    `json:"stop"`
+	Limits  Limits  `json:"limits"`
 }
 
+// Targets maps the name of an instance or a leaf to the base URL of its server.
+// The name of a leaf goes before that of its instance.
+type Targets map[string]string
+
 // Peer is one host of the seed list.
 type Peer struct {
 	Name string `json:"name"`
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -1,9 +1,11 @@
 package settings
 
 import (
+	"maps"
 	"net/netip"
 	"net/url"
 	"regexp"
+	"slices"
 
 	"github.com/redwingshelf/redwingshelf/internal/document/jsonc"
 )
@@ -88,16 +90,14 @@
 	}
 }
 
+// validateTargets checks that target addresses come from somewhere.
 func (s *Settings) validateTargets(c checker) {
-	switch {
-	case s.TargetsURL != "" && len(s.Targets) > 0:
-		c.report.Add(CodeConflict, "/targets_url", "targets and targets_url exclude each other")
-	case s.TargetsURL != "":
-		c.url(s.TargetsURL, "/targets_url")
-	case len(s.Targets) == 0:
-		c.report.Add(CodeMissing, "/targets", "either targets or targets_url is needed")
-	}
-	c.targets(s.Targets, "/targets")
+	if len(s.Targets) == 0 && s.HostList == "" {
+		c.report.Add(CodeMissing, "/targets", "targets is needed without a host_list that gives their addresses")
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Targets)) {
+		c.url(s.Targets[name], jsonc.Path("/targets").Key(name))
+	}
 }
 
 func (s *Settings) validateLimits(c checker) {
