--- /dev/null
+++ b/cmd/redwingctl/main.go
@@ -0,0 +1,12 @@
+// Command redwingctl is the operators' tool of the query tier.
+package main
+
+import (
+	"os"
+
+	"github.com/redwingshelf/redwingshelf/internal/ctl"
+)
+
+func main() {
+	os.Exit(ctl.Execute(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/blob/controller.go
@@ -0,0 +1,222 @@
+// Package blob runs the controllers that keep the configuration document and the
+// host list at the newest revision of the fleet. The decisions are those of
+// package confsync; this package reads the platform's service and exchanges
+// messages with peers.
+package blob
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/redwingshelf/redwingshelf/internal/confsync"
+	"github.com/redwingshelf/redwingshelf/internal/wire"
+)
+
+const (
+	// readSlack is the time past a watch's wait after which the read is given up.
+	readSlack      = 2 * time.Second
+	inboxSize      = 1024
+	headerRevision = "X-Revision"
+)
+
+// Options configure a Controller.
+type Options struct {
+	Sync confsync.Options
+	// URL is the address of the value in the platform's service.
+	URL string
+	// Send passes a message to a peer; it may be lost.
+	Send func(address string, t wire.Type, message any) bool
+	// OnAccepted is called, in order, with each revision that comes in force.
+	OnAccepted func(confsync.Accepted)
+	// OnReady is called once the node may serve.
+	OnReady func(confsync.BecameReady)
+	Logger  *zap.Logger
+	Scope   tally.Scope
+}
+
+// Controller keeps one blob at the newest revision.
+type Controller struct {
+	options Options
+	client  *http.Client
+	start   time.Time
+	events  chan func(now time.Duration) []confsync.Action
+	wg      sync.WaitGroup
+	syncer  *confsync.Syncer
+	// mu guards state.
+	mu    sync.Mutex
+	state State
+}
+
+// State is what operators see of a blob.
+type State struct {
+	Identity   confsync.Identity
+	AcceptedAt time.Time
+	Ready      bool
+}
+
+// New returns a controller; Run starts it.
+func New(o Options) *Controller {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &Controller{
+		options: o,
+		client:  &http.Client{},
+		start:   time.Now(),
+		events:  make(chan func(time.Duration) []confsync.Action, inboxSize),
+		syncer:  confsync.New(o.Sync, 0, rng),
+	}
+}
+
+// State returns the state for operators.
+func (c *Controller) State() State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
+// Run carries out the syncer's decisions until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	defer c.client.CloseIdleConnections()
+	defer c.wg.Wait()
+	ticker := time.NewTicker(confsync.TickInterval)
+	defer ticker.Stop()
+	for {
+		var actions []confsync.Action
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			actions = c.syncer.Tick(time.Since(c.start))
+		case event := <-c.events:
+			actions = event(time.Since(c.start))
+		}
+		for _, action := range actions {
+			c.perform(ctx, action)
+		}
+	}
+}
+
+// Deliver takes a peer's message. It drops the message if too many wait.
+func (c *Controller) Deliver(payload []byte) {
+	var e envelope
+	if err := wire.Decode(payload, &e); err != nil || e.Blob != c.options.Sync.Blob {
+		return
+	}
+	m, err := e.open()
+	if err != nil {
+		return
+	}
+	c.offer(func(now time.Duration) []confsync.Action { return c.syncer.Receive(now, e.From, m) })
+}
+
+// SetMembers takes the alive members of the fleet without this node.
+func (c *Controller) SetMembers(members []confsync.Peer) {
+	c.offer(func(now time.Duration) []confsync.Action { return c.syncer.MembersChanged(now, members) })
+}
+
+func (c *Controller) offer(event func(time.Duration) []confsync.Action) {
+	select {
+	case c.events <- event:
+	default:
+		c.options.Scope.Counter("events_dropped").Inc(1)
+	}
+}
+
+func (c *Controller) perform(ctx context.Context, action confsync.Action) {
+	switch a := action.(type) {
+	case confsync.Send:
+		c.send(a)
+	case confsync.Read:
+		c.wg.Go(func() { c.read(ctx, a) })
+	case confsync.Accepted:
+		c.accepted(a)
+	case confsync.Rejected:
+		c.rejected(a)
+	case confsync.BecameReady:
+		c.ready(a)
+	}
+}
+
+func (c *Controller) send(a confsync.Send) {
+	e, err := seal(c.options.Sync.Self.Address, a.Msg)
+	if err != nil {
+		c.options.Logger.Error("message can't be encoded", zap.Error(err))
+		return
+	}
+	c.options.Send(a.To, wire.TypeBlob, e)
+}
+
+func (c *Controller) accepted(a confsync.Accepted) {
+	c.mu.Lock()
+	c.state.Identity = a.Identity
+	c.state.AcceptedAt = time.Now()
+	c.mu.Unlock()
+	c.options.Scope.Counter("accepted").Inc(1)
+	c.options.Scope.Gauge("revision").Update(float64(a.Identity.Revision))
+	c.options.Logger.Info("revision in force", zap.String("blob", a.Blob), zap.String("identity", a.Identity.String()), zap.String("source", a.Source))
+	c.options.OnAccepted(a)
+}
+
+func (c *Controller) rejected(a confsync.Rejected) {
+	c.options.Scope.Tagged(map[string]string{"reason": a.Reason.String()}).Counter("rejected").Inc(1)
+	c.options.Logger.Warn("revision refused",
+		zap.String("blob", a.Blob),
+		zap.String("identity", a.Identity.String()),
+		zap.String("in_force", a.InForce.String()),
+		zap.String("source", a.Source),
+		zap.Stringer("reason", a.Reason),
+		zap.Error(a.Err),
+	)
+}
+
+func (c *Controller) ready(a confsync.BecameReady) {
+	c.mu.Lock()
+	c.state.Ready = true
+	c.mu.Unlock()
+	c.options.Logger.Info("ready", zap.String("blob", a.Blob), zap.Bool("unconfirmed", a.Unconfirmed))
+	c.options.OnReady(a)
+}
+
+func (c *Controller) read(ctx context.Context, r confsync.Read) {
+	result := c.fetch(ctx, r)
+	event := func(now time.Duration) []confsync.Action { return c.syncer.ReadDone(now, result) }
+	select {
+	case c.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+// fetch reads the platform's service once.
+func (c *Controller) fetch(ctx context.Context, r confsync.Read) confsync.ReadResult {
+	ctx, cancel := context.WithTimeout(ctx, r.Wait+readSlack)
+	defer cancel()
+	c.options.Scope.Counter("reads").Inc(1)
+	url := fmt.Sprintf("%s?after=%d&wait=%g", c.options.URL, r.After, r.Wait.Seconds())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return confsync.ReadResult{ID: r.ID, Err: err}
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return confsync.ReadResult{ID: r.ID, Err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	revision, _ := strconv.ParseUint(response.Header.Get(headerRevision), 10, 64)
+	switch response.StatusCode {
+	case http.StatusNotModified:
+		return confsync.ReadResult{ID: r.ID, Revision: revision}
+	case http.StatusOK:
+		body, err := io.ReadAll(io.LimitReader(response.Body, confsync.MaxBlobBytes+1))
+		return confsync.ReadResult{ID: r.ID, Revision: revision, Body: body, Err: err}
+	default:
+		return confsync.ReadResult{ID: r.ID, Err: fmt.Errorf("read %s: status %d", c.options.URL, response.StatusCode)}
+	}
+}
--- /dev/null
+++ b/internal/blob/message.go
@@ -0,0 +1,68 @@
+package blob
+
+import (
+	"fmt"
+
+	"github.com/redwingshelf/redwingshelf/internal/confsync"
+	"github.com/redwingshelf/redwingshelf/internal/wire"
+)
+
+// messageKind names the type of a message in an envelope.
+type messageKind uint8
+
+const (
+	kindQuery messageKind = iota + 1
+	kindAnnounce
+	kindFetch
+	kindDelta
+	kindChunk
+)
+
+// envelope carries one message between two controllers.
+type envelope struct {
+	// From is the peer address at which the sender takes answers.
+	From string
+	Blob string
+	Kind messageKind
+	Body []byte
+}
+
+func seal(from string, m confsync.Message) (*envelope, error) {
+	e := &envelope{From: from, Blob: m.BlobName()}
+	switch m.(type) {
+	case *confsync.Query:
+		e.Kind = kindQuery
+	case *confsync.Announce:
+		e.Kind = kindAnnounce
+	case *confsync.Fetch:
+		e.Kind = kindFetch
+	case *confsync.Delta:
+		e.Kind = kindDelta
+	case *confsync.Chunk:
+		e.Kind = kindChunk
+	default:
+		return nil, fmt.Errorf("message type %T is not known", m)
+	}
+	body, err := wire.Encode(m)
+	e.Body = body
+	return e, err
+}
+
+func (e *envelope) open() (confsync.Message, error) {
+	var m confsync.Message
+	switch e.Kind {
+	case kindQuery:
+		m = new(confsync.Query)
+	case kindAnnounce:
+		m = new(confsync.Announce)
+	case kindFetch:
+		m = new(confsync.Fetch)
+	case kindDelta:
+		m = new(confsync.Delta)
+	case kindChunk:
+		m = new(confsync.Chunk)
+	default:
+		return nil, fmt.Errorf("message kind %d is not known", e.Kind)
+	}
+	return m, wire.Decode(e.Body, m)
+}
--- /dev/null
+++ b/internal/entry/filters.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/redwingshelf/redwingshelf/internal/kind"
+)
+
+// latencyBuckets are the bounds of the latency histograms.
+var latencyBuckets = append(
+	tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.4, 28),
+	30*time.Second,
+)
+
+// Measure counts requests by customer, class and outcome, and records their
+// latency in a histogram for each customer and class.
+func Measure(scope tally.Scope) Filter {
+	return func(next Handler) Handler {
+		return func(ctx context.Context, r *Request) (*Answer, error) {
+			answer, err := next(ctx, r)
+			tags := map[string]string{"customer": "unknown", "class": "unknown", "service": "unknown"}
+			if r.Target != nil {
+				tags = map[string]string{"customer": r.Customer, "class": r.Class, "service": r.Service}
+			}
+			tagged := scope.Tagged(tags)
+			tagged.Histogram("request_latency", latencyBuckets).RecordDuration(time.Since(r.Received))
+			outcome := "ok"
+			if err != nil {
+				outcome = kind.Of(err).String()
+			}
+			tagged.Tagged(map[string]string{"outcome": outcome}).Counter("requests").Inc(1)
+			return answer, err
+		}
+	}
+}
+
+// Identify looks the customer and service up in the document in force and fills
+// in the class.
+func Identify(router Router) Filter {
+	return func(next Handler) Handler {
+		return func(ctx context.Context, r *Request) (*Answer, error) {
+			index := router.Index()
+			if index == nil {
+				return nil, kind.Errorf(kind.NoConfiguration, "no configuration is in force yet")
+			}
+			if !index.HasCustomer(r.Customer) {
+				return nil, kind.Errorf(kind.UnknownCustomer, "customer %q does not exist", r.Customer)
+			}
+			service := index.Service(r.Customer, r.Service)
+			if service == nil {
+				return nil, kind.Errorf(kind.UnknownService, "service %q of customer %q does not exist", r.Service, r.Customer)
+			}
+			classes := service.Policy.Classes
+			if r.Class == "" && len(classes) > 0 {
+				r.Class = classes[len(classes)-1]
+			}
+			if !slices.Contains(classes, r.Class) {
+				return nil, kind.Errorf(kind.BadRequest, "class %q does not exist in service %q", r.Class, r.Service)
+			}
+			r.Target = service
+			r.Index = index
+			return next(ctx, r)
+		}
+	}
+}
+
+// Deadline sets the deadline, and refuses a request whose deadline has passed.
+func Deadline() Filter {
+	return func(next Handler) Handler {
+		return func(ctx context.Context, r *Request) (*Answer, error) {
+			timeout := r.Target.Policy.Deadline()
+			if r.Timeout > 0 && r.Timeout < timeout {
+				timeout = r.Timeout
+			}
+			r.Deadline = r.Received.Add(timeout)
+			if r.Timeout < 0 || !time.Now().Before(r.Deadline) {
+				return nil, kind.Errorf(kind.DeadlinePassed, "the request's deadline has passed")
+			}
+			ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+			defer cancel()
+			return next(ctx, r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/result.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"strconv"
+
+	"github.com/redwingshelf/redwingshelf/internal/coverage"
+	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/peer"
+	"github.com/redwingshelf/redwingshelf/internal/wire"
+)
+
+// leafHits is the body of a leaf's answer to a search.
+type leafHits struct {
+	Hits []struct {
+		ID    string          `json:"id"`
+		Score float64         `json:"score"`
+		Body  json.RawMessage `json:"body"`
+	} `json:"hits"`
+}
+
+func decodeHits(body []byte) ([]coverage.Hit, error) {
+	var decoded leafHits
+	if err := json.Unmarshal(body, &decoded); err != nil {
+		return nil, kind.Errorf(kind.BadAnswer, "answer of a leaf: %w", err)
+	}
+	hits := make([]coverage.Hit, len(decoded.Hits))
+	for i, h := range decoded.Hits {
+		hits[i] = coverage.Hit{ID: h.ID, Score: h.Score, Body: h.Body}
+	}
+	return hits, nil
+}
+
+// resultKind returns the kind of a failed result.
+func resultKind(result *wire.LeafResult) kind.Kind {
+	k, known := kind.Parse(result.Kind)
+	if !known {
+		return kind.Internal
+	}
+	return k
+}
+
+// resultError returns the failure that a result states.
+func resultError(result *wire.LeafResult) error {
+	return kind.Errorf(resultKind(result), "%s", result.Message)
+}
+
+// streamError gives the failure of a stream to a holder its kind.
+func streamError(err error) error {
+	var kinded *kind.Error
+	switch {
+	case errors.As(err, &kinded):
+		return err
+	case errors.Is(err, peer.ErrNotSent):
+		return kind.Errorf(kind.Unavailable, "%w", err)
+	default:
+		return kind.Errorf(kind.ConnectionLost, "%w", err)
+	}
+}
+
+// attemptID names the n-th message of a request.
+func attemptID(request string, n int) string {
+	return request + "." + strconv.Itoa(n)
+}
--- /dev/null
+++ b/internal/entry/submit.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"context"
+	"hash/fnv"
+	"time"
+
+	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/wire"
+)
+
+// Submitter serves requests that are not idempotent: it sends them to one leaf
+// of the shard that their key selects, and tries another one only after a
+// refusal that proves that the request has not run.
+type Submitter struct {
+	router  Router
+	holders Holders
+}
+
+// NewSubmitter returns a submitter.
+func NewSubmitter(router Router, holders Holders) *Submitter {
+	return &Submitter{router: router, holders: holders}
+}
+
+// Serve is the Handler of requests that are not idempotent.
+func (s *Submitter) Serve(ctx context.Context, r *Request) (*Answer, error) {
+	err := error(kind.Errorf(kind.Unavailable, "no leaf can take the request now"))
+	attempt := 0
+	for _, leaf := range s.leaves(r) {
+		for _, host := range s.router.Holders(leaf) {
+			attempt++
+			var answer *Answer
+			answer, err = s.try(ctx, r, host, leaf, attempt)
+			if err == nil {
+				return answer, nil
+			}
+			if !notRun(err) {
+				return nil, err
+			}
+			if ctx.Err() != nil {
+				return nil, kind.Errorf(kind.DeadlinePassed, "no leaf took the request in time: %w", err)
+			}
+		}
+	}
+	return nil, err
+}
+
+// leaves returns the replicas of the request's shard that accept work.
+func (s *Submitter) leaves(r *Request) []string {
+	shards := r.Target.Shards
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(r.Key))
+	shard := shards[h.Sum32()%uint32(len(shards))]
+	var names []string
+	for _, id := range shard.Replicas {
+		if entry := r.Index.Leaf(id); entry.AcceptsWork() {
+			names = append(names, entry.Name)
+		}
+	}
+	return names
+}
+
+// try makes one attempt. The error of an attempt that may have run has a kind
+// whose run is not "no".
+func (s *Submitter) try(ctx context.Context, r *Request, host Host, leaf string, attempt int) (*Answer, error) {
+	m := &wire.Scatter{
+		RequestID:    r.ID,
+		AttemptID:    attemptID(r.ID, attempt),
+		Customer:     r.Customer,
+		Service:      r.Service,
+		Class:        r.Class,
+		BudgetMicros: (time.Until(r.Deadline) - answerMargin).Microseconds(),
+		Fingerprint:  r.Fingerprint,
+		Body:         r.Body,
+		Leaves:       []string{leaf},
+	}
+	var result *wire.LeafResult
+	err := s.holders.Scatter(ctx, host, m, func(got *wire.LeafResult) { result = got })
+	if result == nil && err == nil {
+		err = kind.Errorf(kind.OutcomeUnknown, "holder %q ended without a result", host.Name)
+	}
+	if result == nil {
+		return nil, submitError(streamError(err))
+	}
+	if result.RequestID != r.ID || result.Leaf != leaf {
+		return nil, kind.Errorf(kind.OutcomeUnknown, "holder %q answered another request", host.Name)
+	}
+	if result.Kind != "" {
+		return nil, submitError(resultError(result))
+	}
+	return &Answer{Leaf: leaf, Body: result.Body}, nil
+}
+
+// submitError turns every failure that may have run into OutcomeUnknown.
+func submitError(err error) error {
+	if notRun(err) {
+		return err
+	}
+	return kind.Errorf(kind.OutcomeUnknown, "%w", err)
+}
+
+func notRun(err error) bool {
+	return kind.Of(err).Answer().Run == kind.RunNo
+}
--- /dev/null
+++ b/internal/entry/types.go
@@ -0,0 +1,101 @@
+// Package entry plays the entry role: it takes a caller's request through a
+// chain of filters, scatters it to the holders of its leaves, merges what they
+// answer and replies.
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/redwingshelf/redwingshelf/internal/coverage"
+	"github.com/redwingshelf/redwingshelf/internal/document"
+	"github.com/redwingshelf/redwingshelf/internal/wire"
+)
+
+// Headers of the callers' HTTP interface.
+const (
+	HeaderRequestID = "X-Request-Id"
+	HeaderTimeout   = "X-Request-Timeout-Ms"
+	HeaderClass     = "X-Request-Class"
+	HeaderTicket    = "Idempotency-Key"
+	HeaderRun       = "X-Run"
+	HeaderCoverage  = "X-Coverage"
+	HeaderSnapshot  = "X-Snapshot"
+)
+
+// Request is one caller's request on its way through the chain.
+type Request struct {
+	ID       string
+	Customer string
+	Service  string
+	Class    string
+	// Idempotent is false for a request that must run at most once.
+	Idempotent bool
+	// Key selects the shard of a request that is not idempotent.
+	Key string
+	// Ticket is the right to run a request that is not idempotent.
+	Ticket string
+	Limit  int
+	Body   []byte
+	// Timeout is what the caller asks for; zero takes the service's deadline.
+	Timeout     time.Duration
+	Received    time.Time
+	Deadline    time.Time
+	Fingerprint []byte
+	// Target is the service in the document in force, set by the chain.
+	Target *document.ServiceEntry
+	Index  *document.Index
+}
+
+// Answer is what a caller gets for a request that did not fail.
+type Answer struct {
+	// Result is the merged result of a search.
+	Result *coverage.Result
+	// Leaf and Body are the answer to a request that is not idempotent.
+	Leaf string
+	Body []byte
+	// Replayed reports that Body was recorded earlier under the same ticket.
+	Replayed bool
+}
+
+// Handler serves a request.
+type Handler func(ctx context.Context, r *Request) (*Answer, error)
+
+// Filter wraps a handler with one step of the chain.
+type Filter func(next Handler) Handler
+
+// Chain returns the handler that runs the filters in order and then last.
+func Chain(last Handler, filters ...Filter) Handler {
+	for i := len(filters) - 1; i >= 0; i-- {
+		last = filters[i](last)
+	}
+	return last
+}
+
+// Host is a node that holds a share of a leaf.
+type Host struct {
+	Name string
+	// Address is the peer address; it is empty for this node itself.
+	Address string
+	// Slots is the size of the share.
+	Slots int
+}
+
+// Router knows where the shares of leaves are. Implementations are safe for
+// concurrent use.
+type Router interface {
+	// Index returns the document in force, nil before the first one.
+	Index() *document.Index
+	// Holders returns the hosts that can call a leaf, the preferred ones first.
+	Holders(leaf string) []Host
+}
+
+// Holders reaches the nodes that hold shares, this node included.
+type Holders interface {
+	// Scatter sends a message to a holder and passes each result to reply, which
+	// is called by one goroutine at a time. It returns when all results have
+	// arrived, or with the error that ended it early. ctx cancels the calls.
+	Scatter(ctx context.Context, host Host, m *wire.Scatter, reply func(*wire.LeafResult)) error
+	// Held asks a holder which snapshots its leaves hold.
+	Held(ctx context.Context, host Host, m *wire.Held) (*wire.HeldResult, error)
+}
--- /dev/null
+++ b/internal/holder/exchange.go
@@ -0,0 +1,124 @@
+package holder
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/target"
+	"github.com/redwingshelf/redwingshelf/internal/warmup"
+	"github.com/redwingshelf/redwingshelf/internal/wire"
+)
+
+// unsettledGuard is the time past a call's deadline after which a leaf that has
+// not answered no longer runs it.
+const unsettledGuard = 100 * time.Millisecond
+
+// exchange makes the call of an admitted request and releases its slot once the
+// leaf no longer runs it.
+func (l *leaf) exchange(c *Call, id uint64, permit Permit) wire.LeafResult {
+	deadline := c.Deadline
+	if !permit.CallUntil.IsZero() && permit.CallUntil.Before(deadline) {
+		deadline = permit.CallUntil
+	}
+	epoch := l.epoch()
+	begin := time.Now()
+	answer, err := l.caller.Call(context.Background(), &target.Request{
+		ID:         c.ID,
+		Customer:   c.Customer,
+		Service:    c.Service,
+		Class:      c.Class,
+		Leaf:       c.Leaf,
+		Snapshot:   c.Snapshot,
+		Idempotent: c.Idempotent,
+		Deadline:   deadline,
+		Body:       c.Body,
+	})
+	latency := time.Since(begin)
+	if err != nil {
+		return l.fail(c, id, epoch, deadline, err)
+	}
+	l.succeed(id, epoch, latency, answer)
+	return wire.LeafResult{
+		RequestID:   c.RequestID,
+		Leaf:        c.Leaf,
+		Run:         string(kind.RunYes),
+		Snapshot:    answer.Snapshot,
+		Held:        heldSnapshots(answer.Report),
+		Incarnation: answer.Incarnation,
+		From:        answer.From,
+		To:          answer.To,
+		Body:        answer.Body,
+	}
+}
+
+func (l *leaf) epoch() warmup.Epoch {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tracker.Epoch(l.holder.now())
+}
+
+func (l *leaf) succeed(id uint64, epoch warmup.Epoch, latency time.Duration, answer *target.Answer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.holder.now()
+	l.observe(now, &answer.Report)
+	l.tracker.Success(now, warmup.Answer{
+		Sent:        epoch,
+		Incarnation: answer.Incarnation,
+		Latency:     latency,
+		Cold:        answer.State == target.StateCold,
+	})
+	l.dispatch(l.scheduler.SetSlots(now, l.tracker.Bound(now)))
+	l.dispatch(l.scheduler.Done(now, id))
+	l.armExpiry(now)
+}
+
+// reasons maps failures to what they tell of the leaf's warm-up.
+var reasons = map[kind.Kind]warmup.Reason{
+	kind.LeafShed:         warmup.Shed,
+	kind.LeafCold:         warmup.SaidCold,
+	kind.LeafLeaving:      warmup.SaidLeaving,
+	kind.DeadlineExceeded: warmup.Timeout,
+	kind.ConnectionLost:   warmup.Disconnected,
+	kind.ConnectFailed:    warmup.Disconnected,
+}
+
+func (l *leaf) fail(c *Call, id uint64, epoch warmup.Epoch, deadline time.Time, err error) wire.LeafResult {
+	var callErr *target.CallError
+	if !errors.As(err, &callErr) {
+		callErr = &target.CallError{Err: err}
+	}
+	result := refused(c, err)
+	result.Incarnation = callErr.Incarnation
+	result.Held = heldSnapshots(callErr.Report)
+	result.Died = callErr.Died
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.holder.now()
+	l.observe(now, &callErr.Report)
+	k := kind.Of(err)
+	if reason, counts := reasons[k]; counts {
+		l.tracker.Failed(now, warmup.Failure{Sent: epoch, Incarnation: callErr.Incarnation, Reason: reason})
+	}
+	if settled(k, callErr) {
+		l.releaseLocked(id)
+		return result
+	}
+	l.settleLater(id, time.Until(deadline)+unsettledGuard)
+	return result
+}
+
+// settled reports whether the leaf certainly does not run the call any more.
+func settled(k kind.Kind, e *target.CallError) bool {
+	return e.Incarnation != "" || k.Answer().Run == kind.RunNo
+}
+
+// settleLater needs mu.
+func (l *leaf) settleLater(id uint64, delay time.Duration) {
+	if l.closed {
+		return
+	}
+	l.unsettled[id] = time.AfterFunc(max(delay, unsettledGuard), func() { l.release(id) })
+}
--- /dev/null
+++ b/internal/holder/holder.go
@@ -0,0 +1,285 @@
+package holder
+
+import (
+	"context"
+	"fmt"
+	"hash/maphash"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/redwingshelf/redwingshelf/internal/document"
+	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/wire"
+)
+
+const (
+	leafMapShards  = 16
+	reportInterval = time.Second
+	reportTimeout  = 500 * time.Millisecond
+	cancelTimeout  = time.Second
+)
+
+// Holder makes the leaf calls of this node.
+type Holder struct {
+	permits Permits
+	screen  Screen
+	dial    Dial
+	scope   tally.Scope
+	start   time.Time
+	seed    maphash.Seed
+	index   atomic.Pointer[document.Index]
+	shards  [leafMapShards]leafMap
+	wg      sync.WaitGroup
+}
+
+// leafMap is one shard of the leaves.
+type leafMap struct {
+	// mu guards leaves.
+	mu     sync.RWMutex
+	leaves map[string]*leaf
+}
+
+// New returns a holder without leaves; SetIndex gives it some. screen may be nil.
+func New(permits Permits, screen Screen, dial Dial, scope tally.Scope) *Holder {
+	h := &Holder{
+		permits: permits,
+		screen:  screen,
+		dial:    dial,
+		scope:   scope.SubScope("holder"),
+		start:   time.Now(),
+		seed:    maphash.MakeSeed(),
+	}
+	for i := range h.shards {
+		h.shards[i].leaves = map[string]*leaf{}
+	}
+	return h
+}
+
+// now returns the monotonic time since the holder was made.
+func (h *Holder) now() time.Duration { return time.Since(h.start) }
+
+func (h *Holder) shard(name string) *leafMap {
+	return &h.shards[maphash.String(h.seed, name)%leafMapShards]
+}
+
+// SetIndex puts a document in force: calls to leaves that it takes out are
+// refused from now on.
+func (h *Holder) SetIndex(index *document.Index) {
+	h.index.Store(index)
+	h.dropLeaves(func(name string) bool { return index.LeafID(name) != document.NoLeaf })
+}
+
+func (h *Holder) dropLeaves(keep func(name string) bool) {
+	for i := range h.shards {
+		s := &h.shards[i]
+		s.mu.Lock()
+		for name, l := range s.leaves {
+			if !keep(name) {
+				delete(s.leaves, name)
+				h.wg.Go(l.close)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Close ends every connection and waits for the background work.
+func (h *Holder) Close() {
+	h.dropLeaves(func(string) bool { return false })
+	h.wg.Wait()
+}
+
+// leaf returns the state of a leaf, making it on first use.
+func (h *Holder) leaf(name string) (*leaf, error) {
+	s := h.shard(name)
+	s.mu.RLock()
+	l := s.leaves[name]
+	s.mu.RUnlock()
+	if l != nil {
+		return l, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.leaves[name]; l != nil {
+		return l, nil
+	}
+	entry := h.entry(name)
+	if entry == nil {
+		return nil, kind.Errorf(kind.NotHolder, "leaf %q is not in the document in force", name)
+	}
+	caller, err := h.dial(name, h.permits.Permit(name).Connections)
+	if err != nil {
+		return nil, kind.Errorf(kind.ConnectFailed, "leaf %q: %w", name, err)
+	}
+	l = newLeaf(name, entry, caller, h)
+	s.leaves[name] = l
+	return l, nil
+}
+
+func (h *Holder) entry(name string) *document.LeafEntry {
+	index := h.index.Load()
+	if index == nil {
+		return nil
+	}
+	return index.Leaf(index.LeafID(name))
+}
+
+// check returns the reason for which a call must not be sent now. It is called
+// on arrival and again directly before the send.
+func (h *Holder) check(c *Call) (Permit, error) {
+	if !time.Now().Before(c.Deadline) {
+		return Permit{}, kind.Errorf(kind.DeadlinePassed, "deadline of the call to leaf %q has passed", c.Leaf)
+	}
+	entry := h.entry(c.Leaf)
+	if entry == nil {
+		return Permit{}, kind.Errorf(kind.NotHolder, "leaf %q is not in the document in force", c.Leaf)
+	}
+	if !entry.AcceptsWork() {
+		return Permit{}, kind.Errorf(kind.LeafLeaving, "the document gives leaf %q no new work", c.Leaf)
+	}
+	permit := h.permits.Permit(c.Leaf)
+	if permit.Slots <= 0 {
+		return Permit{}, kind.Errorf(kind.NotHolder, "this host holds no slot of leaf %q", c.Leaf)
+	}
+	if h.screen != nil {
+		if err := h.screen.Check(c.Fingerprint); err != nil {
+			return Permit{}, err
+		}
+	}
+	return permit, nil
+}
+
+// Call makes one leaf call. When ctx ends it returns at once and the leaf is
+// asked to cancel; the slot stays in use until the leaf has ended the work.
+func (h *Holder) Call(ctx context.Context, c *Call) wire.LeafResult {
+	l, id, permit, err := h.admit(ctx, c)
+	if err != nil {
+		return refused(c, err)
+	}
+	done := make(chan wire.LeafResult, 1)
+	h.wg.Go(func() { done <- l.exchange(c, id, permit) })
+	select {
+	case result := <-done:
+		return result
+	case <-ctx.Done():
+		h.wg.Go(func() { l.cancelCall(c.ID) })
+		return refused(c, kind.Errorf(kind.Canceled, "call to leaf %q was canceled", c.Leaf))
+	}
+}
+
+// admit waits for a slot and checks again once it has one.
+func (h *Holder) admit(ctx context.Context, c *Call) (*leaf, uint64, Permit, error) {
+	permit, err := h.check(c)
+	if err != nil {
+		return nil, 0, Permit{}, err
+	}
+	l, err := h.leaf(c.Leaf)
+	if err != nil {
+		return nil, 0, Permit{}, err
+	}
+	id, err := l.acquire(ctx, c, permit)
+	if err != nil {
+		return nil, 0, Permit{}, err
+	}
+	permit, err = h.check(c)
+	if err != nil {
+		l.release(id)
+		return nil, 0, Permit{}, err
+	}
+	return l, id, permit, nil
+}
+
+// Held returns what is known of the snapshots that leaves hold, asking a leaf
+// that has not reported yet.
+func (h *Holder) Held(ctx context.Context, names []string) []wire.LeafHeld {
+	results := make([]wire.LeafHeld, len(names))
+	var wg sync.WaitGroup
+	for i, name := range names {
+		wg.Go(func() { results[i] = h.heldBy(ctx, name) })
+	}
+	wg.Wait()
+	return results
+}
+
+func (h *Holder) heldBy(ctx context.Context, name string) wire.LeafHeld {
+	if h.permits.Permit(name).Slots <= 0 {
+		return wire.LeafHeld{Leaf: name}
+	}
+	l, err := h.leaf(name)
+	if err != nil {
+		return wire.LeafHeld{Leaf: name}
+	}
+	if report, known := l.lastReport(); known {
+		return heldOf(name, report)
+	}
+	l.poll(ctx)
+	report, _ := l.lastReport()
+	return heldOf(name, report)
+}
+
+// Run polls the leaves' reports until ctx ends.
+func (h *Holder) Run(ctx context.Context) error {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			h.pollAll(ctx)
+		}
+	}
+}
+
+func (h *Holder) pollAll(ctx context.Context) {
+	for i := range h.shards {
+		s := &h.shards[i]
+		s.mu.RLock()
+		for name, l := range s.leaves {
+			if h.permits.Permit(name).Slots > 0 {
+				h.wg.Go(func() { l.poll(ctx) })
+			}
+		}
+		s.mu.RUnlock()
+	}
+}
+
+// Status returns what the holder knows of each leaf that it has used.
+func (h *Holder) Status() []LeafStatus {
+	var all []LeafStatus
+	for i := range h.shards {
+		s := &h.shards[i]
+		s.mu.RLock()
+		for _, l := range s.leaves {
+			all = append(all, l.status())
+		}
+		s.mu.RUnlock()
+	}
+	return all
+}
+
+// InUse returns the number of calls that hold or wait for a slot of a leaf.
+func (h *Holder) InUse(name string) int {
+	s := h.shard(name)
+	s.mu.RLock()
+	l := s.leaves[name]
+	s.mu.RUnlock()
+	if l == nil {
+		return 0
+	}
+	return l.inUse()
+}
+
+func refused(c *Call, err error) wire.LeafResult {
+	k := kind.Of(err)
+	return wire.LeafResult{
+		RequestID: c.RequestID,
+		Leaf:      c.Leaf,
+		Kind:      k.String(),
+		Run:       string(k.Answer().Run),
+		Message:   fmt.Sprint(err),
+	}
+}
--- /dev/null
+++ b/internal/holder/leaf.go
@@ -0,0 +1,297 @@
+package holder
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/redwingshelf/redwingshelf/internal/admission"
+	"github.com/redwingshelf/redwingshelf/internal/document"
+	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/target"
+	"github.com/redwingshelf/redwingshelf/internal/warmup"
+	"github.com/redwingshelf/redwingshelf/internal/wire"
+)
+
+// leaf is this node's share of one leaf: its queue, its warm-up and its
+// connections.
+type leaf struct {
+	name   string
+	holder *Holder
+	caller target.Caller
+	entry  *document.LeafEntry
+	// mu guards the fields below.
+	mu        sync.Mutex
+	scheduler *admission.Scheduler
+	tracker   *warmup.Tracker
+	permit    Permit
+	nextID    uint64
+	// waiting holds a channel for each queued call.
+	waiting map[uint64]chan kind.Kind
+	// unsettled holds the calls whose end the leaf has not confirmed.
+	unsettled map[uint64]*time.Timer
+	expiry    *time.Timer
+	report    target.Report
+	reported  bool
+	closed    bool
+}
+
+// started is sent to a waiting call that now holds a slot.
+const started = kind.Kind(255)
+
+func newLeaf(name string, entry *document.LeafEntry, caller target.Caller, h *Holder) *leaf {
+	limits := entry.Service.Limits
+	return &leaf{
+		name:      name,
+		holder:    h,
+		caller:    caller,
+		entry:     entry,
+		scheduler: admission.New(admission.Config{Classes: len(entry.Service.Policy.Classes)}),
+		tracker:   warmup.New(h.now(), warmup.Config{ColdSlots: limits.ColdSlots, WarmAfter: limits.WarmAfter}),
+		waiting:   map[uint64]chan kind.Kind{},
+		unsettled: map[uint64]*time.Timer{},
+	}
+}
+
+func (l *leaf) close() {
+	l.caller.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	for _, timer := range l.unsettled {
+		timer.Stop()
+	}
+	if l.expiry != nil {
+		l.expiry.Stop()
+	}
+}
+
+// acquire waits until the call holds a slot. The caller must release it.
+func (l *leaf) acquire(ctx context.Context, c *Call, permit Permit) (uint64, error) {
+	id, wait, err := l.submit(c, permit)
+	if err != nil || wait == nil {
+		return id, err
+	}
+	select {
+	case k := <-wait:
+		if k != started {
+			return 0, kind.Errorf(k, "call to leaf %q left the queue", l.name)
+		}
+		return id, nil
+	case <-ctx.Done():
+		l.abandon(id, wait)
+		return 0, kind.Errorf(kind.Unavailable, "call to leaf %q was canceled in the queue", l.name)
+	}
+}
+
+// submit asks the scheduler. A non-nil channel means that the call is queued.
+func (l *leaf) submit(c *Call, permit Permit) (uint64, chan kind.Kind, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.holder.now()
+	l.applyPermit(now, permit)
+	bound := l.tracker.Bound(now)
+	l.dispatch(l.scheduler.SetSlots(now, bound))
+	if bound == 0 {
+		return 0, nil, l.noSlots(now)
+	}
+	l.nextID++
+	id := l.nextID
+	decision := l.scheduler.Submit(now, admission.Item{
+		ID:       id,
+		Customer: c.Customer,
+		Class:    slices.Index(l.entry.Service.Policy.Classes, c.Class),
+		Deadline: now + time.Until(c.Deadline),
+	})
+	l.refuse(decision.Refused)
+	switch decision.Verdict {
+	case admission.Start:
+		return id, nil, nil
+	case admission.Queued:
+		wait := make(chan kind.Kind, 1)
+		l.waiting[id] = wait
+		l.armExpiry(now)
+		return id, wait, nil
+	default:
+		return 0, nil, kind.Errorf(decision.Kind, "leaf %q has no room in time", l.name)
+	}
+}
+
+func (l *leaf) noSlots(now time.Duration) error {
+	if l.tracker.State(now) == warmup.Leaving {
+		return kind.Errorf(kind.LeafLeaving, "leaf %q is leaving", l.name)
+	}
+	return kind.Errorf(kind.LeafCold, "leaf %q is cold and another host warms it", l.name)
+}
+
+// applyPermit needs mu.
+func (l *leaf) applyPermit(now time.Duration, permit Permit) {
+	if permit.PeerWarm != "" && permit.PeerWarm != l.permit.PeerWarm {
+		l.tracker.PeerWarm(now, permit.PeerWarm)
+	}
+	if permit.Connections != l.permit.Connections {
+		l.caller.SetConnections(permit.Connections)
+	}
+	coldSlots := 0
+	if permit.HandlesCold {
+		coldSlots = min(l.entry.Service.Limits.ColdSlots, permit.Slots)
+	}
+	l.tracker.SetShare(permit.Slots, coldSlots)
+	l.permit = permit
+}
+
+// abandon gives a queued call up, or the slot that it has just received.
+func (l *leaf) abandon(id uint64, wait chan kind.Kind) {
+	l.mu.Lock()
+	queued := l.scheduler.Cancel(id)
+	delete(l.waiting, id)
+	l.mu.Unlock()
+	if queued {
+		return
+	}
+	if k := <-wait; k == started {
+		l.release(id)
+	}
+}
+
+// release ends a call that the leaf does not run.
+func (l *leaf) release(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.releaseLocked(id)
+}
+
+func (l *leaf) releaseLocked(id uint64) {
+	now := l.holder.now()
+	delete(l.unsettled, id)
+	l.dispatch(l.scheduler.SetSlots(now, l.tracker.Bound(now)))
+	l.dispatch(l.scheduler.Release(now, id))
+	l.armExpiry(now)
+}
+
+// dispatch needs mu. It wakes the calls that the scheduler has decided on.
+func (l *leaf) dispatch(b admission.Batch) {
+	for _, item := range b.Start {
+		l.wake(item.ID, started)
+	}
+	l.refuse(b.Refused)
+}
+
+func (l *leaf) refuse(refused []admission.Refusal) {
+	for _, r := range refused {
+		l.wake(r.ID, r.Kind)
+	}
+}
+
+func (l *leaf) wake(id uint64, k kind.Kind) {
+	if wait := l.waiting[id]; wait != nil {
+		delete(l.waiting, id)
+		wait <- k
+	}
+}
+
+// armExpiry needs mu. It arranges for the next refusal of a queued call.
+func (l *leaf) armExpiry(now time.Duration) {
+	next, queued := l.scheduler.NextExpiry()
+	if !queued || l.closed {
+		return
+	}
+	delay := max(next-now, 0)
+	if l.expiry == nil {
+		l.expiry = time.AfterFunc(delay, l.expire)
+		return
+	}
+	l.expiry.Reset(delay)
+}
+
+func (l *leaf) expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.holder.now()
+	l.dispatch(l.scheduler.Expire(now))
+	l.armExpiry(now)
+}
+
+// poll asks the leaf for its report.
+func (l *leaf) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := l.caller.Report(ctx)
+	if err != nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.holder.now()
+	l.observe(now, report)
+	l.tracker.Hint(now, warmup.Hint{Cold: report.State == target.StateCold})
+}
+
+// observe needs mu. It records what a leaf says of itself.
+func (l *leaf) observe(now time.Duration, report *target.Report) {
+	if report.Incarnation == "" {
+		return
+	}
+	if l.report.Incarnation != report.Incarnation {
+		l.settleAll()
+	}
+	l.tracker.SetIncarnation(now, report.Incarnation)
+	l.tracker.SetLeaving(now, warmup.LeafWord, report.State == target.StateLeaving)
+	l.report = *report
+	l.reported = true
+}
+
+// settleAll needs mu. A new incarnation does not run the calls of the old one.
+func (l *leaf) settleAll() {
+	for id, timer := range l.unsettled {
+		timer.Stop()
+		l.releaseLocked(id)
+	}
+}
+
+func (l *leaf) lastReport() (target.Report, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.report, l.reported
+}
+
+func (l *leaf) cancelCall(id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	l.caller.Cancel(ctx, id)
+}
+
+func (l *leaf) inUse() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.scheduler.Running() + l.scheduler.Queued()
+}
+
+func (l *leaf) status() LeafStatus {
+	open, retired := l.caller.Counts()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return LeafStatus{
+		Leaf:        l.name,
+		State:       l.tracker.State(l.holder.now()).String(),
+		Incarnation: l.report.Incarnation,
+		Slots:       l.permit.Slots,
+		Running:     l.scheduler.Running(),
+		Queued:      l.scheduler.Queued(),
+		Connections: open,
+		Retired:     retired,
+	}
+}
+
+func heldOf(name string, report target.Report) wire.LeafHeld {
+	return wire.LeafHeld{Leaf: name, Incarnation: report.Incarnation, Snapshots: heldSnapshots(report)}
+}
+
+func heldSnapshots(report target.Report) []wire.HeldSnapshot {
+	held := make([]wire.HeldSnapshot, len(report.Held))
+	for i, s := range report.Held {
+		held[i] = wire.HeldSnapshot{Snapshot: s.Snapshot, From: s.From, To: s.To}
+	}
+	return held
+}
--- /dev/null
+++ b/internal/holder/types.go
@@ -0,0 +1,67 @@
+// Package holder plays the holder role: it owns the right to use a share of some
+// leaves' slots and connections, queues calls for them, and makes the calls.
+package holder
+
+import (
+	"time"
+
+	"github.com/redwingshelf/redwingshelf/internal/target"
+)
+
+// Permit is what this node may use of one leaf now.
+type Permit struct {
+	// Slots is the number of concurrent calls; zero if the node holds no share.
+	Slots int
+	// Connections is the number of open connections.
+	Connections int
+	// HandlesCold reports that this node makes the calls of a cold start.
+	HandlesCold bool
+	// CallUntil bounds the deadline of a call made now; zero sets no bound.
+	CallUntil time.Time
+	// PeerWarm is the incarnation that the leaf's first holder has warmed, empty
+	// if unknown.
+	PeerWarm string
+}
+
+// Permits says what this node may use. Implementations are safe for concurrent
+// use and answer for the moment of the call.
+type Permits interface {
+	Permit(leaf string) Permit
+}
+
+// Screen refuses requests by their content.
+type Screen interface {
+	// Check returns an error with a kind for a request that must not be sent.
+	Check(fingerprint []byte) error
+}
+
+// Dial returns the caller of a leaf.
+type Dial func(leaf string, connections int) (target.Caller, error)
+
+// Call is one leaf call that an entry asks for.
+type Call struct {
+	// ID names the attempt and is unique among the attempts of all requests.
+	ID          string
+	RequestID   string
+	Customer    string
+	Service     string
+	Class       string
+	Leaf        string
+	Snapshot    string
+	Idempotent  bool
+	Deadline    time.Time
+	Fingerprint []byte
+	Body        []byte
+}
+
+// LeafStatus is what the holder knows of one leaf.
+type LeafStatus struct {
+	Leaf        string
+	State       string
+	Incarnation string
+	Slots       int
+	Running     int
+	Queued      int
+	Connections int
+	Retired     int
+}
--- a/internal/kind/kind.go
+++ b/internal/kind/kind.go
@@ -93,7 +93,7 @@
 	CoverageTooLow:   {"coverage_too_low", http.StatusServiceUnavailable, RunYes, true, false},
 	TicketRequired:   {"ticket_required", http.StatusPreconditionRequired, RunNo, false, false},
 	TicketUnknown:    {"ticket_unknown", http.StatusConflict, RunUnknown, false, false},
-	OutcomeUnknown:   {"outcome_unknown", http.StatusBadGateway, RunUnknown, false, false},
+	OutcomeUnknown:   {"outcome_unknown", http.StatusBadGateway, RunUnknown, false, true},
 	AlreadyRunning:   {"already_running", http.StatusConflict, RunUnknown, true, false},
 	NotFound:         {"not_found", http.StatusNotFound, RunNo, false, false},
 }
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,189 @@
+// Package node assembles one redwingshelf process: the entry and holder roles,
+// the controllers of state, and the listeners of callers, peers and operators.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/redwingshelf/redwingshelf/internal/blob"
+	"github.com/redwingshelf/redwingshelf/internal/entry"
+	"github.com/redwingshelf/redwingshelf/internal/holder"
+	"github.com/redwingshelf/redwingshelf/internal/peer"
+	"github.com/redwingshelf/redwingshelf/internal/routing"
+	"github.com/redwingshelf/redwingshelf/internal/settings"
+	"github.com/redwingshelf/redwingshelf/internal/wire"
+)
+
+// shutdownTimeout bounds the time that running requests may take after the
+// balancer has stopped sending new ones.
+const shutdownTimeout = 60 * time.Second
+
+// Node is one process of the tier.
+type Node struct {
+	settings    *settings.Settings
+	logger      *zap.Logger
+	scope       tally.Scope
+	metrics     http.Handler
+	closer      io.Closer
+	incarnation uint64
+	listeners   listeners
+	table       *routing.Table
+	targets     *targetAddresses
+	holder      *holder.Holder
+	pool        *peer.Pool
+	peers       *peer.Server
+	callers     *http.Server
+	operators   *http.Server
+	config      *blob.Controller
+	hosts       *blob.Controller
+	ready       atomic.Bool
+	stopping    atomic.Bool
+}
+
+// listeners are the open sockets of a node.
+type listeners struct {
+	http net.Listener
+	ops  net.Listener
+	peer net.Listener
+}
+
+// New opens the listeners of a node. Run starts it.
+func New(s *settings.Settings, logger *zap.Logger) (*Node, error) {
+	open, err := listen(s)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		settings:    s,
+		logger:      logger.With(zap.String("host", s.Name)),
+		incarnation: uint64(time.Now().UnixNano()),
+		listeners:   *open,
+		table:       routing.New(s.Name),
+		targets:     newTargetAddresses(s.Targets),
+	}
+	n.scope, n.metrics, n.closer = newScope(s)
+	hello := wire.Hello{Host: s.Name, Incarnation: n.incarnation}
+	n.pool = peer.NewPool(hello, nil)
+	n.holder = holder.New(n.table, nil, n.dialLeaf, n.scope)
+	n.peers = peer.NewServer(open.peer, hello, &peerHandler{node: n})
+	n.config = n.newConfigController()
+	n.hosts = n.newHostsController()
+	n.callers = n.newCallerServer()
+	n.operators = n.newOperatorServer()
+	return n, nil
+}
+
+func listen(s *settings.Settings) (*listeners, error) {
+	var open listeners
+	for _, l := range []struct {
+		address string
+		at      *net.Listener
+	}{{s.HTTPListen, &open.http}, {s.OpsListen, &open.ops}, {s.PeerListen, &open.peer}} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			open.close()
+			return nil, fmt.Errorf("listen at %s: %w", l.address, err)
+		}
+		*l.at = listener
+	}
+	return &open, nil
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.http, l.ops, l.peer} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+// Run serves until ctx ends, and then stops without cutting off any request.
+func (n *Node) Run(ctx context.Context) error {
+	defer func() { _ = n.closer.Close() }()
+	runCtx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, groupCtx := errgroup.WithContext(runCtx)
+	group.Go(n.peers.Serve)
+	group.Go(func() error { return serve(n.callers, n.listeners.http) })
+	group.Go(func() error { return serve(n.operators, n.listeners.ops) })
+	group.Go(func() error { return n.config.Run(groupCtx) })
+	group.Go(func() error { return n.hosts.Run(groupCtx) })
+	group.Go(func() error { return n.holder.Run(groupCtx) })
+	group.Go(func() error {
+		defer cancel()
+		select {
+		case <-ctx.Done():
+			return n.stop()
+		case <-groupCtx.Done():
+			return n.close()
+		}
+	})
+	n.logger.Info("node started", zap.Uint64("incarnation", n.incarnation))
+	err := group.Wait()
+	n.logger.Info("node stopped")
+	return err
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// stop ends the node in order: it reports not ready, serves on while the
+// balancer lags, waits for running requests and then closes.
+func (n *Node) stop() error {
+	n.stopping.Store(true)
+	n.logger.Info("node stopping")
+	time.Sleep(n.settings.Stop.BalancerLag())
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	err := n.callers.Shutdown(ctx)
+	return errors.Join(err, n.close())
+}
+
+func (n *Node) close() error {
+	err := errors.Join(n.callers.Close(), n.operators.Close())
+	n.pool.Close()
+	n.peers.Close()
+	n.holder.Close()
+	return err
+}
+
+func (n *Node) newCallerServer() *http.Server {
+	holders := &holders{node: n}
+	searcher := entry.NewSearcher(n.table, holders)
+	submitter := entry.NewSubmitter(n.table, holders)
+	last := func(ctx context.Context, r *entry.Request) (*entry.Answer, error) {
+		if r.Idempotent {
+			return searcher.Serve(ctx, r)
+		}
+		return submitter.Serve(ctx, r)
+	}
+	handler := entry.Chain(last,
+		entry.Measure(n.scope.SubScope("entry")),
+		entry.Identify(n.table),
+		entry.Deadline(),
+	)
+	limits := n.settings.Limits
+	return &http.Server{
+		Handler:           entry.NewHTTP(handler, n.issueTicket, int64(limits.MaxBodyBytes)),
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		ReadTimeout:       limits.ReadTimeout(),
+		ReadHeaderTimeout: limits.ReadTimeout(),
+		WriteTimeout:      limits.WriteTimeout(),
+		IdleTimeout:       limits.IdleTimeout(),
+	}
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	"context"
+
+	"github.com/redwingshelf/redwingshelf/internal/entry"
+	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/peer"
+	"github.com/redwingshelf/redwingshelf/internal/wire"
+)
+
+// holders reaches the holder role of this node and of its peers.
+type holders struct {
+	node *Node
+}
+
+// Scatter implements entry.Holders.
+func (h *holders) Scatter(ctx context.Context, host entry.Host, m *wire.Scatter, reply func(*wire.LeafResult)) error {
+	if host.Address == "" {
+		h.node.holder.Scatter(ctx, m, reply)
+		return nil
+	}
+	stream, err := h.node.pool.Call(ctx, host.Address, wire.TypeScatter, m, len(m.Leaves))
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		frame, ok, err := stream.Recv(ctx)
+		if err != nil {
+			return err
+		}
+		if !ok {
+			return nil
+		}
+		result := new(wire.LeafResult)
+		if err := wire.Decode(frame.Payload, result); err != nil {
+			return err
+		}
+		reply(result)
+	}
+}
+
+// Held implements entry.Holders.
+func (h *holders) Held(ctx context.Context, host entry.Host, m *wire.Held) (*wire.HeldResult, error) {
+	if host.Address == "" {
+		return h.node.holder.HeldAnswer(ctx, m), nil
+	}
+	stream, err := h.node.pool.Call(ctx, host.Address, wire.TypeHeld, m, 1)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	frame, ok, err := stream.Recv(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if !ok {
+		return nil, peer.ErrLost
+	}
+	result := new(wire.HeldResult)
+	return result, wire.Decode(frame.Payload, result)
+}
+
+// peerHandler serves what peers send to this node.
+type peerHandler struct {
+	node *Node
+}
+
+// HandleCall implements peer.Handler.
+func (p *peerHandler) HandleCall(ctx context.Context, _ wire.Hello, frame wire.Frame, reply *peer.Reply) error {
+	switch frame.Type {
+	case wire.TypeScatter:
+		return p.scatter(ctx, frame, reply)
+	case wire.TypeHeld:
+		return p.held(ctx, frame, reply)
+	default:
+		return kind.Errorf(kind.BadRequest, "message type %d is not a call", frame.Type)
+	}
+}
+
+// HandleMessage implements peer.Handler.
+func (p *peerHandler) HandleMessage(_ wire.Hello, frame wire.Frame) {
+	if frame.Type == wire.TypeBlob {
+		p.node.config.Deliver(frame.Payload)
+		p.node.hosts.Deliver(frame.Payload)
+	}
+}
+
+func (p *peerHandler) scatter(ctx context.Context, frame wire.Frame, reply *peer.Reply) error {
+	m := new(wire.Scatter)
+	if err := wire.Decode(frame.Payload, m); err != nil {
+		return kind.Errorf(kind.BadRequest, "%w", err)
+	}
+	p.node.holder.Scatter(ctx, m, func(result *wire.LeafResult) {
+		_ = reply.Send(ctx, wire.TypeLeafResult, result)
+	})
+	return nil
+}
+
+func (p *peerHandler) held(ctx context.Context, frame wire.Frame, reply *peer.Reply) error {
+	m := new(wire.Held)
+	if err := wire.Decode(frame.Payload, m); err != nil {
+		return kind.Errorf(kind.BadRequest, "%w", err)
+	}
+	return reply.Send(ctx, wire.TypeHeldResult, p.node.holder.HeldAnswer(ctx, m))
+}
--- /dev/null
+++ b/internal/node/state.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"fmt"
+	"maps"
+	"strconv"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/redwingshelf/redwingshelf/internal/blob"
+	"github.com/redwingshelf/redwingshelf/internal/confsync"
+	"github.com/redwingshelf/redwingshelf/internal/document"
+	"github.com/redwingshelf/redwingshelf/internal/hostlist"
+	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/target"
+)
+
+const (
+	blobConfig = "config"
+	blobHosts  = "hosts"
+)
+
+// targetAddresses maps leaves and instances to base URLs. Addresses in the
+// settings go before those of the host list.
+type targetAddresses struct {
+	fixed map[string]string
+	// mu guards listed.
+	mu     sync.RWMutex
+	listed map[string]string
+}
+
+func newTargetAddresses(fixed map[string]string) *targetAddresses {
+	return &targetAddresses{fixed: maps.Clone(fixed)}
+}
+
+func (t *targetAddresses) set(listed map[string]string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listed = listed
+}
+
+func (t *targetAddresses) lookup(names ...string) (string, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, addresses := range []map[string]string{t.fixed, t.listed} {
+		for _, name := range names {
+			if url, found := addresses[name]; found {
+				return url, true
+			}
+		}
+	}
+	return "", false
+}
+
+// dialLeaf implements holder.Dial.
+func (n *Node) dialLeaf(leaf string, connections int) (target.Caller, error) {
+	index := n.table.Index()
+	entry := index.Leaf(index.LeafID(leaf))
+	if entry == nil {
+		return nil, fmt.Errorf("leaf %q does not exist", leaf)
+	}
+	url, found := n.targets.lookup(leaf, entry.Instance.Name)
+	if !found {
+		return nil, fmt.Errorf("leaf %q has no address", leaf)
+	}
+	return target.NewHTTP(url, connections)
+}
+
+// differ makes and applies differences between revisions of a blob.
+type differ struct{}
+
+// Delta implements confsync.Differ. It returns nil if there is no difference to
+// send, in which case the whole bytes are sent.
+func (differ) Delta(from, to []byte) []byte {
+	delta, err := document.Delta(from, to)
+	if err != nil {
+		return nil
+	}
+	return delta
+}
+
+// Apply implements confsync.Differ.
+func (differ) Apply(from, delta []byte) ([]byte, error) { return document.Apply(from, delta) }
+
+func (n *Node) self() confsync.Peer {
+	return confsync.Peer{
+		Name:        n.settings.Name,
+		Address:     n.settings.PeerAdvertise,
+		DataCentre:  n.settings.DataCentre,
+		Incarnation: n.incarnation,
+	}
+}
+
+func (n *Node) seeds() []string {
+	var addresses []string
+	for _, p := range n.settings.Peers {
+		if p.Address != n.settings.PeerAdvertise {
+			addresses = append(addresses, p.Address)
+		}
+	}
+	return addresses
+}
+
+func (n *Node) blobOptions(name, url string, check confsync.Check) blob.Options {
+	return blob.Options{
+		Sync: confsync.Options{
+			Blob:      name,
+			Self:      n.self(),
+			Seeds:     n.seeds(),
+			Check:     check,
+			Differ:    differ{},
+			FleetSize: len(n.settings.Peers),
+		},
+		URL:    url,
+		Send:   n.pool.Send,
+		Logger: n.logger,
+		Scope:  n.scope.SubScope(name),
+	}
+}
+
+func (n *Node) newConfigController() *blob.Controller {
+	o := n.blobOptions(blobConfig, n.settings.ConfigurationService, checkDocument)
+	o.OnAccepted = n.documentAccepted
+	o.OnReady = func(confsync.BecameReady) { n.ready.Store(true) }
+	return blob.New(o)
+}
+
+func checkDocument(data []byte) (confsync.Identity, error) {
+	loaded, err := document.Load(data)
+	if err != nil {
+		return confsync.Identity{}, err
+	}
+	return confsync.NewIdentity(loaded.Identity.Revision, loaded.Identity.Digest), nil
+}
+
+func (n *Node) documentAccepted(a confsync.Accepted) {
+	loaded, err := document.Load(a.Bytes)
+	if err != nil {
+		n.logger.Error("accepted document can't be loaded", zap.Error(err))
+		return
+	}
+	n.table.SetDocument(loaded)
+	n.holder.SetIndex(loaded.Index)
+}
+
+func (n *Node) newHostsController() *blob.Controller {
+	o := n.blobOptions(blobHosts, n.settings.HostList, checkHosts)
+	o.OnAccepted = n.hostsAccepted
+	o.OnReady = func(confsync.BecameReady) {}
+	return blob.New(o)
+}
+
+func checkHosts(data []byte) (confsync.Identity, error) {
+	list, err := hostlist.Parse(data)
+	if err != nil {
+		return confsync.Identity{}, err
+	}
+	return confsync.NewIdentity(list.Revision, hostlist.Digest(data)), nil
+}
+
+func (n *Node) hostsAccepted(a confsync.Accepted) {
+	list, err := hostlist.Parse(a.Bytes)
+	if err != nil {
+		n.logger.Error("accepted host list can't be read", zap.Error(err))
+		return
+	}
+	n.targets.set(list.Targets)
+	if err := n.table.SetHosts(list); err != nil {
+		n.logger.Error("host list can't be placed on", zap.Error(err))
+	}
+	var members []confsync.Peer
+	for _, h := range list.Hosts {
+		if h.Name != n.settings.Name {
+			members = append(members, confsync.Peer{Name: h.Name, Address: h.Address, DataCentre: h.DataCentre})
+		}
+	}
+	n.config.SetMembers(members)
+	n.hosts.SetMembers(members)
+}
+
+// issueTicket returns a ticket that names this process.
+func (n *Node) issueTicket() (string, error) {
+	if n.stopping.Load() {
+		return "", kind.Errorf(kind.Stopping, "this host is stopping")
+	}
+	return n.settings.Name + "~" + strconv.FormatUint(n.incarnation, 16), nil
+}
--- /dev/null
+++ b/internal/nodecmd/run.go
@@ -0,0 +1,52 @@
+package nodecmd
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"github.com/redwingshelf/redwingshelf/internal/node"
+	"github.com/redwingshelf/redwingshelf/internal/settings"
+)
+
+func newRunCommand() *cobra.Command {
+	var file string
+	command := &cobra.Command{
+		Use:   "run --settings FILE",
+		Short: "Run one node until SIGTERM or SIGINT, then stop without cutting off any request",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return run(c.Context(), file)
+		},
+	}
+	command.Flags().StringVar(&file, "settings", "", "file with the settings of this host")
+	_ = command.MarkFlagRequired("settings")
+	_ = command.MarkFlagFilename("settings", "json", "jsonc")
+	return command
+}
+
+func run(ctx context.Context, file string) error {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	loaded, err := settings.LoadFile(file)
+	if err != nil {
+		return err
+	}
+	logger, err := zap.NewProduction()
+	if err != nil {
+		return fmt.Errorf("make the logger: %w", err)
+	}
+	defer func() { _ = logger.Sync() }()
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	n, err := node.New(loaded, logger)
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,261 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/redwingshelf/redwingshelf/internal/wire"
+)
+
+const (
+	dialTimeout   = 500 * time.Millisecond
+	redialBackoff = 50 * time.Millisecond
+)
+
+// Observer is told about the outcome of each dial.
+type Observer interface {
+	// Connected reports a completed handshake with the host at an address.
+	Connected(address string, peer wire.Hello)
+	// Refused reports that the address refused a connection, which proves that
+	// no process listens there.
+	Refused(address string)
+}
+
+// Pool keeps one outgoing link for each peer address.
+type Pool struct {
+	hello    wire.Hello
+	observer Observer
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	// mu guards peers.
+	mu    sync.Mutex
+	peers map[string]*remote
+}
+
+// remote is one address with its current link.
+type remote struct {
+	address string
+	// mu guards the fields below and is held while dialling.
+	mu       sync.Mutex
+	link     *clientLink
+	failedAt time.Time
+	err      error
+}
+
+// clientLink is the dialling end of a link with its open streams.
+type clientLink struct {
+	*link
+	// mu guards the fields below.
+	mu      sync.Mutex
+	streams map[uint64]*Stream
+	next    uint64
+	// failed is set once the reader has ended; no stream opens after it.
+	failed bool
+}
+
+// NewPool returns a pool that introduces itself with hello. observer may be nil.
+func NewPool(hello wire.Hello, observer Observer) *Pool {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Pool{hello: hello, observer: observer, ctx: ctx, cancel: cancel, peers: map[string]*remote{}}
+}
+
+// Close ends every link and waits for their goroutines.
+func (p *Pool) Close() {
+	p.cancel()
+	p.mu.Lock()
+	for _, r := range p.peers {
+		r.mu.Lock()
+		if r.link != nil {
+			r.link.close()
+		}
+		r.mu.Unlock()
+	}
+	p.mu.Unlock()
+	p.wg.Wait()
+}
+
+// Call sends a request and returns the stream of its answers. buffer bounds the
+// number of answer frames. An error that wraps ErrNotSent proves that nothing
+// of the request has left this node.
+func (p *Pool) Call(ctx context.Context, address string, t wire.Type, message any, buffer int) (*Stream, error) {
+	payload, err := wire.Encode(message)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	l, err := p.remote(address).get(ctx, p)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	s := l.open(buffer)
+	if s == nil {
+		return nil, ErrNotSent
+	}
+	if err := l.enqueue(ctx, wire.Frame{Type: t, Stream: s.id, Payload: payload}); err != nil {
+		l.remove(s.id)
+		return nil, err
+	}
+	return s, nil
+}
+
+// Send queues a one-way message, and reports false if there is no link or no
+// room. It dials in the background so that later messages can pass.
+func (p *Pool) Send(address string, t wire.Type, message any) bool {
+	payload, err := wire.Encode(message)
+	if err != nil {
+		return false
+	}
+	r := p.remote(address)
+	if l := r.current(); l != nil {
+		return l.offer(wire.Frame{Type: t, Payload: payload})
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ctx.Err() != nil {
+		return false
+	}
+	p.wg.Go(func() {
+		l, err := r.get(p.ctx, p)
+		if err == nil {
+			l.offer(wire.Frame{Type: t, Payload: payload})
+		}
+	})
+	return true
+}
+
+func (p *Pool) remote(address string) *remote {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.peers[address]
+	if r == nil {
+		r = &remote{address: address}
+		p.peers[address] = r
+	}
+	return r
+}
+
+// current returns the live link without waiting for a dial in progress.
+func (r *remote) current() *clientLink {
+	if !r.mu.TryLock() {
+		return nil
+	}
+	defer r.mu.Unlock()
+	return r.alive()
+}
+
+func (r *remote) alive() *clientLink {
+	if r.link == nil {
+		return nil
+	}
+	select {
+	case <-r.link.done:
+		return nil
+	default:
+		return r.link
+	}
+}
+
+// get returns the live link, dialling if there is none.
+func (r *remote) get(ctx context.Context, p *Pool) (*clientLink, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l := r.alive(); l != nil {
+		return l, nil
+	}
+	if r.err != nil && time.Since(r.failedAt) < redialBackoff {
+		return nil, r.err
+	}
+	l, err := p.dial(ctx, r.address)
+	if err != nil {
+		r.err = err
+		r.failedAt = time.Now()
+		return nil, err
+	}
+	r.err = nil
+	r.link = l
+	return l, nil
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*clientLink, error) {
+	if err := p.ctx.Err(); err != nil {
+		return nil, err
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) && p.observer != nil {
+			p.observer.Refused(address)
+		}
+		return nil, fmt.Errorf("dial peer %s: %w", address, err)
+	}
+	l := &clientLink{link: newLink(conn, p.hello), streams: map[uint64]*Stream{}}
+	reader := bufio.NewReaderSize(conn, writeBufferSize)
+	if err := l.handshake(reader); err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("handshake with peer %s: %w", address, err)
+	}
+	if p.observer != nil {
+		p.observer.Connected(address, l.peer)
+	}
+	p.wg.Go(l.writeLoop)
+	p.wg.Go(func() { l.readLoop(reader) })
+	return l, nil
+}
+
+// open registers a new stream. It returns nil if the link has failed.
+func (l *clientLink) open(buffer int) *Stream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed {
+		return nil
+	}
+	l.next++
+	s := &Stream{id: l.next, link: l, frames: make(chan wire.Frame, buffer)}
+	l.streams[s.id] = s
+	return s
+}
+
+func (l *clientLink) remove(id uint64) *Stream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.streams[id]
+	delete(l.streams, id)
+	return s
+}
+
+func (l *clientLink) stream(id uint64) *Stream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.streams[id]
+}
+
+func (l *clientLink) readLoop(r *bufio.Reader) {
+	defer l.failAll()
+	defer l.close()
+	for {
+		frame, err := wire.Read(r)
+		if err != nil {
+			return
+		}
+		if s := l.stream(frame.Stream); s != nil {
+			s.deliver(frame)
+		}
+	}
+}
+
+func (l *clientLink) failAll() {
+	l.mu.Lock()
+	l.failed = true
+	streams := l.streams
+	l.streams = map[uint64]*Stream{}
+	l.mu.Unlock()
+	for _, s := range streams {
+		s.end(ErrLost)
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,203 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/wire"
+)
+
+const maxCallsPerLink = 8192
+
+// Handler serves what peers send.
+type Handler interface {
+	// HandleCall answers a call. The call ends when it returns; an error becomes
+	// the stream's error. ctx ends when the caller cancels or its link fails.
+	HandleCall(ctx context.Context, from wire.Hello, frame wire.Frame, reply *Reply) error
+	// HandleMessage takes a one-way message. It must not block.
+	HandleMessage(from wire.Hello, frame wire.Frame)
+}
+
+// Reply sends the answers of one call.
+type Reply struct {
+	link   *link
+	stream uint64
+}
+
+// Send queues one answer frame.
+func (r *Reply) Send(ctx context.Context, t wire.Type, message any) error {
+	payload, err := wire.Encode(message)
+	if err != nil {
+		return err
+	}
+	return r.link.enqueue(ctx, wire.Frame{Type: t, Stream: r.stream, Payload: payload})
+}
+
+// Server accepts links from peers.
+type Server struct {
+	hello    wire.Hello
+	handler  Handler
+	listener net.Listener
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	// mu guards links.
+	mu    sync.Mutex
+	links map[*serverLink]struct{}
+}
+
+// serverLink is the accepting end of a link with its running calls.
+type serverLink struct {
+	*link
+	server *Server
+	wg     sync.WaitGroup
+	// mu guards calls.
+	mu    sync.Mutex
+	calls map[uint64]context.CancelFunc
+}
+
+// NewServer returns a server for an open listener.
+func NewServer(listener net.Listener, hello wire.Hello, handler Handler) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{
+		hello:    hello,
+		handler:  handler,
+		listener: listener,
+		ctx:      ctx,
+		cancel:   cancel,
+		links:    map[*serverLink]struct{}{},
+	}
+}
+
+// Serve accepts links until Close. It returns nil after Close.
+func (s *Server) Serve() error {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			if s.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return fmt.Errorf("accept a peer: %w", err)
+		}
+		l := &serverLink{link: newLink(conn, s.hello), server: s, calls: map[uint64]context.CancelFunc{}}
+		if !s.add(l) {
+			l.close()
+			return nil
+		}
+		s.wg.Go(l.serve)
+	}
+}
+
+// Close stops accepting, ends every link and waits for the running calls.
+func (s *Server) Close() {
+	s.cancel()
+	_ = s.listener.Close()
+	s.mu.Lock()
+	for l := range s.links {
+		l.close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+func (s *Server) add(l *serverLink) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		return false
+	}
+	s.links[l] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(l *serverLink) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.links, l)
+}
+
+func (l *serverLink) serve() {
+	defer l.server.remove(l)
+	defer l.wg.Wait()
+	defer l.close()
+	reader := bufio.NewReaderSize(l.conn, writeBufferSize)
+	if err := l.handshake(reader); err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(l.server.ctx)
+	defer cancel()
+	l.wg.Go(l.writeLoop)
+	for {
+		frame, err := wire.Read(reader)
+		if err != nil {
+			return
+		}
+		l.dispatch(ctx, frame)
+	}
+}
+
+func (l *serverLink) dispatch(ctx context.Context, frame wire.Frame) {
+	switch {
+	case frame.Type == wire.TypeCancel:
+		l.cancelCall(frame.Stream)
+	case frame.Stream == 0:
+		l.server.handler.HandleMessage(l.peer, frame)
+	default:
+		l.startCall(ctx, frame)
+	}
+}
+
+func (l *serverLink) startCall(ctx context.Context, frame wire.Frame) {
+	callCtx, cancel := context.WithCancel(ctx)
+	reply := &Reply{link: l.link, stream: frame.Stream}
+	if err := l.register(frame.Stream, cancel); err != nil {
+		cancel()
+		l.finish(ctx, reply, err)
+		return
+	}
+	l.wg.Go(func() {
+		defer l.cancelCall(frame.Stream)
+		err := l.server.handler.HandleCall(callCtx, l.peer, frame, reply)
+		l.finish(ctx, reply, err)
+	})
+}
+
+// register records a running call. A stream number that is already in use is a
+// protocol error and closes the link.
+func (l *serverLink) register(stream uint64, cancel context.CancelFunc) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, duplicate := l.calls[stream]; duplicate {
+		l.close()
+		return kind.Errorf(kind.BadRequest, "stream %d is already in use", stream)
+	}
+	if len(l.calls) >= maxCallsPerLink {
+		return kind.Errorf(kind.Overloaded, "link already runs %d calls", maxCallsPerLink)
+	}
+	l.calls[stream] = cancel
+	return nil
+}
+
+func (l *serverLink) cancelCall(stream uint64) {
+	l.mu.Lock()
+	cancel := l.calls[stream]
+	delete(l.calls, stream)
+	l.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func (l *serverLink) finish(ctx context.Context, reply *Reply, err error) {
+	if err == nil {
+		_ = l.enqueue(ctx, wire.Frame{Type: wire.TypeEnd, Stream: reply.stream})
+		return
+	}
+	message := wire.StreamError{Kind: kind.Of(err).String(), Message: err.Error()}
+	_ = reply.Send(ctx, wire.TypeError, &message)
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,131 @@
+// Package routing keeps the node's view of which hosts hold shares of which
+// leaves, derived from the document and the host list in force.
+package routing
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/redwingshelf/redwingshelf/internal/document"
+	"github.com/redwingshelf/redwingshelf/internal/entry"
+	"github.com/redwingshelf/redwingshelf/internal/holder"
+	"github.com/redwingshelf/redwingshelf/internal/hostlist"
+	"github.com/redwingshelf/redwingshelf/internal/placement"
+)
+
+// Table is the routing state of one node. Its methods are safe for concurrent
+// use; look-ups take no lock.
+type Table struct {
+	self string
+	// mu guards the fields below and serializes updates of view.
+	mu      sync.Mutex
+	loaded  *document.Loaded
+	list    *hostlist.List
+	planner *placement.Planner
+	view    atomic.Pointer[view]
+}
+
+// view is one consistent state of the table. It is never changed.
+type view struct {
+	index   *document.Index
+	holders map[string][]entry.Host
+	permits map[string]holder.Permit
+}
+
+// New returns the table of the named host without a document.
+func New(self string) *Table {
+	t := &Table{self: self}
+	t.view.Store(&view{})
+	return t
+}
+
+// SetDocument puts a document in force.
+func (t *Table) SetDocument(loaded *document.Loaded) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loaded = loaded
+	t.rebuild()
+}
+
+// SetHosts puts a host list in force.
+func (t *Table) SetHosts(list *hostlist.List) error {
+	planner, err := placement.NewPlanner(PlacementHosts(list))
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.list = list
+	t.planner = planner
+	t.rebuild()
+	return nil
+}
+
+// PlacementHosts returns the hosts of a list in the form that placement uses.
+func PlacementHosts(list *hostlist.List) []placement.Host {
+	hosts := make([]placement.Host, len(list.Hosts))
+	for i, h := range list.Hosts {
+		hosts[i] = placement.Host{
+			Name:       h.Name,
+			DataCentre: h.DataCentre,
+			Region:     h.Region,
+			Cell:       h.Cell,
+			Weight:     h.Weight,
+			Leaving:    h.State == hostlist.StateLeaving,
+		}
+	}
+	return hosts
+}
+
+// Index implements entry.Router.
+func (t *Table) Index() *document.Index { return t.view.Load().index }
+
+// Holders implements entry.Router.
+func (t *Table) Holders(leaf string) []entry.Host { return t.view.Load().holders[leaf] }
+
+// Permit implements holder.Permits.
+func (t *Table) Permit(leaf string) holder.Permit { return t.view.Load().permits[leaf] }
+
+// rebuild needs mu.
+func (t *Table) rebuild() {
+	if t.loaded == nil {
+		return
+	}
+	v := &view{
+		index:   t.loaded.Index,
+		holders: map[string][]entry.Host{},
+		permits: map[string]holder.Permit{},
+	}
+	if t.planner != nil {
+		t.place(v)
+	}
+	t.view.Store(v)
+}
+
+// place needs mu.
+func (t *Table) place(v *view) {
+	addresses := map[string]string{}
+	for _, h := range t.list.Hosts {
+		addresses[h.Name] = h.Address
+	}
+	addresses[t.self] = ""
+	plan := t.planner.Plan(t.loaded.Document)
+	for id := range document.LeafID(v.index.NumLeaves()) {
+		leaf := v.index.Leaf(id)
+		placed := plan.Leaves[id]
+		for i, share := range placed.Shares {
+			v.holders[leaf.Name] = append(v.holders[leaf.Name], entry.Host{
+				Name:    share.Owner,
+				Address: addresses[share.Owner],
+				Slots:   share.Slots,
+			})
+			if share.Owner == t.self {
+				v.permits[leaf.Name] = holder.Permit{
+					Slots:       share.Slots,
+					Connections: share.Connections,
+					HandlesCold: i == 0,
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/target/http.go
@@ -0,0 +1,234 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/redwingshelf/redwingshelf/internal/kind"
+)
+
+// MaxAnswer is the greatest length of a leaf's answer in bytes.
+const MaxAnswer = 1 << 20
+
+// answerGrace is the time past a call's deadline for which its answer is awaited.
+const answerGrace = 500 * time.Millisecond
+
+// HTTP calls one leaf by the HTTP contract over HTTP/2 without TLS, so that
+// cancelling a call keeps its connection.
+type HTTP struct {
+	base  url.URL
+	conns *conns
+}
+
+// NewHTTP returns a caller of the leaf at a base URL such as
+// http://10.0.0.7:9000, with at most the given number of connections.
+func NewHTTP(base string, connections int) (*HTTP, error) {
+	u, err := url.Parse(base)
+	if err != nil {
+		return nil, fmt.Errorf("leaf address %q: %w", base, err)
+	}
+	if u.Scheme != "http" || u.Host == "" {
+		return nil, fmt.Errorf("leaf address %q is not of the form http://IP:PORT", base)
+	}
+	return &HTTP{base: url.URL{Scheme: "http", Host: u.Host}, conns: newConns(u.Host, connections)}, nil
+}
+
+// Call implements Caller. It waits for the leaf's own answer past the deadline,
+// up to answerGrace, since the leaf ends late work by itself.
+func (h *HTTP) Call(ctx context.Context, r *Request) (*Answer, error) {
+	if time.Until(r.Deadline) <= 0 {
+		return nil, deadlinePassed(r)
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(answerGrace))
+	defer cancel()
+	c, err := h.conns.get(ctx)
+	if err != nil {
+		return nil, failed(err)
+	}
+	defer c.end()
+	// The connection may have taken time to open.
+	remaining := time.Until(r.Deadline)
+	if remaining <= 0 {
+		return nil, deadlinePassed(r)
+	}
+	response, err := c.client.RoundTrip(h.newRequest(ctx, r, remaining))
+	if err != nil {
+		h.conns.sweep()
+		return nil, h.transportError(ctx, r, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return h.readAnswer(ctx, c, r, response)
+}
+
+// Cancel implements Caller.
+func (h *HTTP) Cancel(ctx context.Context, id string) {
+	c, err := h.conns.get(ctx)
+	if err != nil {
+		return
+	}
+	defer c.end()
+	u := h.base
+	u.Path = PathCancel
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, u.String(), nil)
+	if err != nil {
+		return
+	}
+	request.Header.Set(HeaderRequestID, id)
+	response, err := c.client.RoundTrip(request)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+func deadlinePassed(r *Request) error {
+	return failed(kind.Errorf(kind.DeadlinePassed, "deadline passed before leaf %q was called", r.Leaf))
+}
+
+func (h *HTTP) newRequest(ctx context.Context, r *Request, remaining time.Duration) *http.Request {
+	u := h.base
+	u.Path = PathRun
+	header := http.Header{
+		HeaderRequestID:  {r.ID},
+		HeaderTimeout:    {strconv.FormatInt(max(remaining.Milliseconds(), 1), 10)},
+		HeaderIdempotent: {strconv.FormatBool(r.Idempotent)},
+		HeaderLeaf:       {r.Leaf},
+		HeaderCustomer:   {r.Customer},
+		HeaderClass:      {r.Class},
+	}
+	if r.Snapshot != "" {
+		header[HeaderSnapshot] = []string{r.Snapshot}
+	}
+	// GetBody stays nil, so that net/http can't send the body a second time.
+	request := &http.Request{
+		Method:        http.MethodPost,
+		URL:           &u,
+		Host:          u.Host,
+		Header:        header,
+		ContentLength: int64(len(r.Body)),
+		Body:          io.NopCloser(bytes.NewReader(r.Body)),
+	}
+	return request.WithContext(ctx)
+}
+
+// transportError classifies a failure without an answer. The request may have
+// left this node, so that its outcome is unknown.
+func (h *HTTP) transportError(ctx context.Context, r *Request, err error) error {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return failed(kind.Errorf(kind.DeadlineExceeded, "leaf %q did not answer in time", r.Leaf))
+	case ctx.Err() != nil:
+		return failed(kind.Errorf(kind.Canceled, "call to leaf %q was canceled", r.Leaf))
+	default:
+		e := failed(kind.Errorf(kind.ConnectionLost, "call to leaf %q: %w", r.Leaf, err))
+		e.Died = true
+		return e
+	}
+}
+
+func (h *HTTP) readAnswer(ctx context.Context, c *conn, r *Request, response *http.Response) (*Answer, error) {
+	if echo := response.Header.Get(HeaderRequestID); echo != r.ID {
+		h.conns.retire(c)
+		return nil, failed(kind.Errorf(kind.BadAnswer, "leaf %q answered request %q instead of %q", r.Leaf, echo, r.ID))
+	}
+	report, err := parseReport(response.Header)
+	if err != nil {
+		return nil, failed(kind.Errorf(kind.BadAnswer, "leaf %q: %w", r.Leaf, err))
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, refusal(r, report, response)
+	}
+	if response.ContentLength < 0 || response.ContentLength > MaxAnswer {
+		return nil, failed(kind.Errorf(kind.BadAnswer, "leaf %q declared a length of %d bytes", r.Leaf, response.ContentLength))
+	}
+	body := make([]byte, response.ContentLength)
+	if _, err := io.ReadFull(response.Body, body); err != nil {
+		return nil, h.bodyError(ctx, r, err)
+	}
+	from, to, err := ParseRange(response.Header.Get(HeaderKeyRange))
+	if err != nil {
+		return nil, failed(kind.Errorf(kind.BadAnswer, "leaf %q: %w", r.Leaf, err))
+	}
+	return &Answer{
+		Report:   report,
+		Snapshot: response.Header.Get(HeaderSnapshot),
+		From:     from,
+		To:       to,
+		Body:     body,
+	}, nil
+}
+
+func (h *HTTP) bodyError(ctx context.Context, r *Request, err error) error {
+	if ctx.Err() != nil {
+		return h.transportError(ctx, r, err)
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return failed(kind.Errorf(kind.BadAnswer, "answer of leaf %q is truncated: %w", r.Leaf, err))
+	}
+	return h.transportError(ctx, r, err)
+}
+
+// refusals maps the leaf's refusal words to kinds.
+var refusals = map[string]kind.Kind{
+	"shed":     kind.LeafShed,
+	"cold":     kind.LeafCold,
+	"leaving":  kind.LeafLeaving,
+	"snapshot": kind.SnapshotNotHeld,
+	"deadline": kind.DeadlineExceeded,
+	"canceled": kind.Canceled,
+}
+
+func refusal(r *Request, report Report, response *http.Response) error {
+	word := response.Header.Get(HeaderRefusal)
+	k, known := refusals[word]
+	saysNotRun := response.Header.Get(HeaderRun) == string(kind.RunNo)
+	if !known || k.Answer().Run == kind.RunNo && !saysNotRun {
+		k = kind.OutcomeUnknown
+	}
+	e := failed(kind.Errorf(k, "leaf %q refused with status %d (%s)", r.Leaf, response.StatusCode, word))
+	e.Report = report
+	return e
+}
+
+// Report implements Caller.
+func (h *HTTP) Report(ctx context.Context) (*Report, error) {
+	c, err := h.conns.get(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer c.end()
+	u := h.base
+	u.Path = PathReport
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.client.RoundTrip(request)
+	if err != nil {
+		h.conns.sweep()
+		return nil, kind.Errorf(kind.ConnectionLost, "ask leaf at %s for its report: %w", u.Host, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	report, err := parseReport(response.Header)
+	if err != nil {
+		return nil, kind.Errorf(kind.BadAnswer, "report of leaf at %s: %w", u.Host, err)
+	}
+	return &report, nil
+}
+
+// SetConnections implements Caller.
+func (h *HTTP) SetConnections(n int) { h.conns.setLimit(n) }
+
+// Counts implements Caller.
+func (h *HTTP) Counts() (open, retired int) { return h.conns.counts() }
+
+// Close implements Caller.
+func (h *HTTP) Close() { h.conns.close() }
+
+func failed(err error) *CallError { return &CallError{Err: err} }
--- /dev/null
+++ b/internal/target/http_test.go
@@ -0,0 +1,100 @@
+package target_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/standin"
+	"github.com/redwingshelf/redwingshelf/internal/target"
+)
+
+func newLeaf(t *testing.T, o standin.LeafOptions) (*standin.Leaf, *target.HTTP) {
+	t.Helper()
+	o.Name = "d01-0"
+	leaf, err := standin.NewLeaf(o, standin.NewSnapshot("1-first", 10, 1))
+	require.NoError(t, err)
+	t.Cleanup(leaf.Close)
+	caller, err := target.NewHTTP(leaf.URL(), 4)
+	require.NoError(t, err)
+	t.Cleanup(caller.Close)
+	return leaf, caller
+}
+
+func newRequest() *target.Request {
+	return &target.Request{
+		ID:         "r1",
+		Leaf:       "d01-0",
+		Idempotent: true,
+		Deadline:   time.Now().Add(10 * time.Second),
+		Body:       []byte(`{"text":"entry"}`),
+	}
+}
+
+func TestReport(t *testing.T) {
+	_, caller := newLeaf(t, standin.LeafOptions{})
+	report, err := caller.Report(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, "1", report.Incarnation)
+	require.Equal(t, target.StateCold, report.State)
+	require.Equal(t, []target.Held{{Snapshot: "1-first", From: 0, To: standin.KeySpace}}, report.Held)
+}
+
+func TestCallFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults standin.Faults
+		change func(r *target.Request)
+		want   kind.Kind
+	}{
+		{"shed", standin.Faults{Refuse: "shed"}, nil, kind.LeafShed},
+		{"cold", standin.Faults{Refuse: "cold"}, nil, kind.LeafCold},
+		{"leaving", standin.Faults{Leaving: true}, nil, kind.LeafLeaving},
+		{"unknown word", standin.Faults{Refuse: "busy"}, nil, kind.OutcomeUnknown},
+		{"crossed", standin.Faults{CrossAnswers: true}, nil, kind.BadAnswer},
+		{"truncated", standin.Faults{Truncate: true}, nil, kind.BadAnswer},
+		{"poison", standin.Faults{Poison: "entry"}, nil, kind.ConnectionLost},
+		{"snapshot", standin.Faults{}, func(r *target.Request) { r.Snapshot = "2-second" }, kind.SnapshotNotHeld},
+		{"passed", standin.Faults{}, func(r *target.Request) { r.Deadline = time.Now().Add(-time.Second) }, kind.DeadlinePassed},
+		{"slow", standin.Faults{Delay: time.Minute}, func(r *target.Request) { r.Deadline = time.Now().Add(50 * time.Millisecond) }, kind.DeadlineExceeded},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			leaf, caller := newLeaf(t, standin.LeafOptions{})
+			leaf.SetFaults(c.faults)
+			r := newRequest()
+			if c.change != nil {
+				c.change(r)
+			}
+			_, err := caller.Call(context.Background(), r)
+			require.Equal(t, c.want, kind.Of(err), "%v", err)
+		})
+	}
+}
+
+func TestCallAnswers(t *testing.T) {
+	_, caller := newLeaf(t, standin.LeafOptions{})
+	answer, err := caller.Call(context.Background(), newRequest())
+	require.NoError(t, err)
+	require.Equal(t, "1-first", answer.Snapshot)
+	require.Equal(t, uint32(standin.KeySpace), answer.To)
+	require.Contains(t, string(answer.Body), "entry-00000")
+}
+
+func TestCancelEndsTheWork(t *testing.T) {
+	leaf, caller := newLeaf(t, standin.LeafOptions{ServiceTime: time.Minute})
+	done := make(chan error, 1)
+	go func() {
+		_, err := caller.Call(context.Background(), newRequest())
+		done <- err
+	}()
+	require.Eventually(t, func() bool { return leaf.Counts().Requests == 1 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool {
+		caller.Cancel(context.Background(), "r1")
+		return leaf.Counts().Canceled == 1
+	}, 10*time.Second, time.Millisecond)
+	require.Equal(t, kind.Canceled, kind.Of(<-done))
+}
--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,130 @@
+// Package wire reads and writes the frames that the nodes exchange over TCP.
+//
+// A frame is a 14 byte header followed by a msgpack payload. The header holds
+// the payload length (4 bytes), the protocol version (1 byte), the message type
+// (1 byte) and the stream (8 bytes), all in network byte order.
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Version is the protocol version that this package speaks.
+const Version = 1
+
+// MaxPayload is the greatest length of a frame's payload in bytes.
+const MaxPayload = 4 << 20
+
+const headerSize = 14
+
+// Type names the message that a frame carries.
+type Type uint8
+
+// Message types. Control types are sent one way on stream zero.
+const (
+	TypeHello Type = iota + 1
+	TypeCancel
+	TypeEnd
+	TypeError
+	TypeScatter
+	TypeLeafResult
+	TypeHeld
+	TypeHeldResult
+	TypeForward
+	TypeForwardResult
+	TypeBeat
+	TypeMember
+	TypeBlob
+	TypeQuarantine
+)
+
+// Frame is one message between two nodes.
+type Frame struct {
+	Type    Type
+	Stream  uint64
+	Payload []byte
+}
+
+// Errors that Read returns for a frame it refuses.
+var (
+	ErrVersion  = errors.New("frame has another protocol version")
+	ErrTooLarge = errors.New("frame is larger than the limit")
+)
+
+// Read reads one frame. It returns ErrVersion or ErrTooLarge, wrapped, for a
+// frame that it refuses; the stream can't be used after any error.
+func Read(r io.Reader) (Frame, error) {
+	var header [headerSize]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return Frame{}, err
+	}
+	length := binary.BigEndian.Uint32(header[0:4])
+	if header[4] != Version {
+		return Frame{}, fmt.Errorf("%w: got %d, want %d", ErrVersion, header[4], Version)
+	}
+	if length > MaxPayload {
+		return Frame{}, fmt.Errorf("%w: %d bytes, at most %d", ErrTooLarge, length, MaxPayload)
+	}
+	payload := make([]byte, length)
+	if _, err := io.ReadFull(r, payload); err != nil {
+		return Frame{}, fmt.Errorf("read a payload of %d bytes: %w", length, noEOF(err))
+	}
+	frame := Frame{
+		Type:    Type(header[5]),
+		Stream:  binary.BigEndian.Uint64(header[6:14]),
+		Payload: payload,
+	}
+	return frame, nil
+}
+
+// Write writes one frame to w without flushing it.
+func Write(w *bufio.Writer, f Frame) error {
+	if len(f.Payload) > MaxPayload {
+		return fmt.Errorf("%w: %d bytes, at most %d", ErrTooLarge, len(f.Payload), MaxPayload)
+	}
+	var header [headerSize]byte
+	binary.BigEndian.PutUint32(header[0:4], uint32(len(f.Payload)))
+	header[4] = Version
+	header[5] = byte(f.Type)
+	binary.BigEndian.PutUint64(header[6:14], f.Stream)
+	if _, err := w.Write(header[:]); err != nil {
+		return err
+	}
+	_, err := w.Write(f.Payload)
+	return err
+}
+
+// Encode returns the msgpack form of a message, with structs as arrays.
+func Encode(message any) ([]byte, error) {
+	var buffer bytes.Buffer
+	encoder := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(encoder)
+	encoder.Reset(&buffer)
+	encoder.UseArrayEncodedStructs(true)
+	if err := encoder.Encode(message); err != nil {
+		return nil, fmt.Errorf("encode %T: %w", message, err)
+	}
+	return buffer.Bytes(), nil
+}
+
+// Decode parses the msgpack form of a message.
+func Decode(payload []byte, message any) error {
+	if err := msgpack.Unmarshal(payload, message); err != nil {
+		return fmt.Errorf("decode %T: %w", message, err)
+	}
+	return nil
+}
+
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
