--- /dev/null
+++ b/internal/status/status.go
@@ -0,0 +1,21 @@
+// Package status holds the shape of a node's status answer for operators.
+package status
+
+// Node is the answer of GET /status.
+type Node struct {
+	Name        string `json:"name"`
+	DataCentre  string `json:"data_centre"`
+	Incarnation uint64 `json:"incarnation"`
+	Revision    uint64 `json:"revision"`
+	Digest      string `json:"digest"`
+	// AcceptedAgeMS is the time since the document came in force.
+	AcceptedAgeMS int64 `json:"accepted_age_ms"`
+	// State is "starting", "ready" or "stopping".
+	State string `json:"state"`
+	// SharesHeld is the number of shares that the node may use now.
+	SharesHeld int `json:"shares_held"`
+	// Leaves counts the leaves that the node holds shares of, by state.
+	Leaves map[string]int `json:"leaves"`
+	// Members counts the known members of the fleet, by state.
+	Members map[string]int `json:"members"`
+}
