--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -102,6 +102,14 @@
 	code, out, _ := run("explain", adom, "--hosts", "6")
 	require.Equal(t, ExitOK, code)
 	require.Contains(t, out, "2 of 2")
+	require.Contains(t, out, "10, also without any one data centre")
+}
+
+func TestExplainFindsShardsThatNothingServes(t *testing.T) {
+	file := edited(t, `"leaving_leaves": []`, `"leaving_leaves": ["dispatch-01-0", "dispatch-04-1", "dispatch-07-2"]`)
+	code, out, _ := run("explain", file, "--hosts", "6")
+	require.Equal(t, ExitFinding, code)
+	require.Contains(t, out, `PROBLEM: service "dispatch" of "adom": 1 of 10 shards have no leaf that accepts work`)
 }
 
 func TestWrongUsage(t *testing.T) {
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -28,7 +28,8 @@
 		Long: `Explain places a document on a number of hosts, spread evenly over its data
 centres, and shows the shares and connections of hosts and leaves, the worst
 case against each limit, and the shards that remain without each data centre.
-It exits with 1 if a worst case passes a limit or a leaf has no holder.`,
+It exits with 1 if a worst case passes a limit, a leaf has no holder or a shard
+has no leaf that accepts work.`,
 		Example: `  redwingctl explain examples/adom.jsonc --hosts 6
   redwingctl explain examples/adom.jsonc --hosts 6 --leaves
   redwingctl explain fleet.jsonc --hosts 600 --cells 20 --output json`,
--- a/internal/ctl/explanation.go
+++ b/internal/ctl/explanation.go
@@ -39,7 +39,8 @@
 	// MinShares and MaxShares are the least and most shares of a leaf.
 	MinShares int `json:"min_shares"`
 	MaxShares int `json:"max_shares"`
-	// Coverage is the number of shards served now and without each data centre.
+	// Coverage is the number of shards served now, followed by that without each
+	// data centre.
 	Coverage []dataCentreCoverage `json:"coverage"`
 }
 
@@ -139,6 +140,10 @@
 			Shards:  e.servedShards(service, dc.Name),
 		})
 	}
+	if served := sum.Coverage[0].Shards; served < sum.Shards {
+		e.find("service %q of %q: %d of %d shards have no leaf that accepts work",
+			sum.Service, sum.Customer, sum.Shards-served, sum.Shards)
+	}
 	for i, id := range service.Leaves {
 		worst := e.addLeaf(e.index.Leaf(id))
 		shares := len(worst.Leaf.Shares)
--- a/internal/ctl/explanation_text.go
+++ b/internal/ctl/explanation_text.go
@@ -76,12 +76,15 @@
 
 // formatCoverage formats the shards served now and without each data centre.
 func formatCoverage(coverage []dataCentreCoverage) string {
-	parts := make([]string, len(coverage))
-	for i, c := range coverage {
-		parts[i] = fmt.Sprint(c.Shards)
-		if c.Without != "" {
-			parts[i] = fmt.Sprintf("%d without %s", c.Shards, c.Without)
+	now := coverage[0].Shards
+	var parts []string
+	for _, c := range coverage[1:] {
+		if c.Shards != now {
+			parts = append(parts, fmt.Sprintf("%d without %s", c.Shards, c.Without))
 		}
 	}
-	return strings.Join(parts, ", ")
+	if len(parts) == 0 {
+		return fmt.Sprintf("%d, also without any one data centre", now)
+	}
+	return fmt.Sprintf("%d, %s", now, strings.Join(parts, ", "))
 }
--- a/internal/document/jsonc/decode.go
+++ b/internal/document/jsonc/decode.go
@@ -50,11 +50,13 @@
 		r.addAt(CodeTooDeep, line, fmt.Sprintf("nests deeper than %d levels", maxDepth))
 		return hujson.Value{}, false
 	}
-	// Standardize later overwrites the comments of the bytes it was parsed from.
-	root, err := hujson.Parse(bytes.Clone(data))
+	// The parser needs the end of a line after a comment on the last one. It gets
+	// a copy, because Standardize overwrites the comments of what was parsed.
+	root, err := hujson.Parse(append(bytes.Clone(data), '\n'))
 	if err != nil {
 		line, message := splitSyntaxError(err)
-		r.addAt(CodeSyntax, line, message)
+		last := lineAt(data, len(data))
+		r.addAt(CodeSyntax, min(line, last), message)
 		return hujson.Value{}, false
 	}
 	return root, true
@@ -90,7 +92,7 @@
 		return 0, message
 	}
 	_, rest, _ := strings.Cut(message, ": ")
-	return line, fmt.Sprintf("column %d: %s", column, rest)
+	return line, rest
 }
 
 func invalidUTF8Line(data []byte) int {
