--- a/internal/document/delta.go
+++ b/internal/document/delta.go
@@ -100,7 +100,7 @@
 // chunkMatcher turns a new document into operations on the old one.
 type chunkMatcher struct {
 	oldBytes []byte
-	// offsets holds where each chunk stands in oldBytes, in ascending order.
+	// offsets holds the offsets of each chunk in oldBytes, in ascending order.
 	offsets map[string][]int
 	// next is the end of the last range copied.
 	next int
--- a/internal/document/delta_test.go
+++ b/internal/document/delta_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"math/rand/v2"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -128,12 +129,27 @@
 	})
 }
 
-// BenchmarkLoad measures the acceptance of a document of the fleet's size.
+// BenchmarkLoad measures the acceptance of a document of the fleet's size, and
+// the memory that it keeps.
 func BenchmarkLoad(b *testing.B) {
 	data := fleetBytes(b)
+	before := heapBytes()
+	loaded, err := Load(data)
+	require.NoError(b, err)
+	retained := heapBytes() - before
 	b.ReportAllocs()
 	for b.Loop() {
-		_, err := Load(data)
-		require.NoError(b, err)
+		loaded, err = Load(data)
 	}
+	require.NoError(b, err)
+	runtime.KeepAlive(loaded)
+	b.ReportMetric(float64(retained), "retained-B")
+}
+
+// heapBytes returns the size of the live heap.
+func heapBytes() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
 }
--- a/internal/document/jsonc/decode.go
+++ b/internal/document/jsonc/decode.go
@@ -1,5 +1,5 @@
 // Package jsonc decodes JSON with comments strictly: every field must be known
-// and of the right type, no key may stand twice, and each problem is reported
+// and of the right type, no key may be repeated, and each problem is reported
 // with its line and field.
 package jsonc
 
@@ -31,7 +31,7 @@
 		return report
 	}
 	report.source = &source{data: data, root: root}
-	w := walker{report: report}
+	w := walker{report: report, fields: make(map[reflect.Type]map[string]reflect.Type)}
 	w.walk(&root, reflect.TypeOf(value).Elem(), "")
 	if w.mistyped {
 		return report
--- a/internal/document/jsonc/walker.go
+++ b/internal/document/jsonc/walker.go
@@ -13,6 +13,8 @@
 	report *Report
 	// mistyped is set if a value can't be decoded into its type.
 	mistyped bool
+	// fields caches the fields of each struct type.
+	fields map[reflect.Type]map[string]reflect.Type
 }
 
 func (w *walker) walk(v *hujson.Value, t reflect.Type, path Path) {
@@ -36,7 +38,7 @@
 		w.wrongType(v, "an object", path)
 		return
 	}
-	fields := fieldTypes(t)
+	fields := w.fieldTypes(t)
 	w.walkMembers(object, path, func(name string) (reflect.Type, bool) {
 		field, known := fields[name]
 		return field, known
@@ -79,7 +81,7 @@
 	// The decoder would take the last of both, so the value is not used.
 	w.mistyped = true
 	before := len(w.report.err.Problems)
-	w.report.Add(CodeDuplicateKey, path, "key stands twice in one object")
+	w.report.Add(CodeDuplicateKey, path, "duplicate key")
 	if len(w.report.err.Problems) > before {
 		line := lineAt(w.report.source.data, member.Name.StartOffset)
 		w.report.err.Problems[before].Line = line
@@ -166,12 +168,16 @@
 }
 
 // fieldTypes maps the JSON names of a struct's fields to their types.
-func fieldTypes(t reflect.Type) map[string]reflect.Type {
+func (w *walker) fieldTypes(t reflect.Type) map[string]reflect.Type {
+	if fields, found := w.fields[t]; found {
+		return fields
+	}
 	fields := make(map[string]reflect.Type, t.NumField())
 	for i := range t.NumField() {
 		field := t.Field(i)
 		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
 		fields[name] = field.Type
 	}
+	w.fields[t] = fields
 	return fields
 }
--- a/internal/document/validate.go
+++ b/internal/document/validate.go
@@ -142,13 +142,13 @@
 	}
 }
 
-// checkUnique checks the form of a name, and that it stands once in seen.
+// checkUnique checks the form of a name, and that it is new to seen.
 func (v *validator) checkUnique(seen map[string]bool, what, name string, path jsonc.Path) {
 	if !v.checkName(what, name, path) {
 		return
 	}
 	if seen[name] {
-		v.report.Add(CodeDuplicateName, path, "%s %q stands twice", what, name)
+		v.report.Add(CodeDuplicateName, path, "%s %q is listed twice", what, name)
 	}
 	seen[name] = true
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,14 +40,15 @@
 	// HostList is the URL of the platform's list of live and leaving hosts, which
 	// may also give addresses to targets. Without it only the seed list is used.
 	HostList string `json:"host_list"`
-	// Targets gives addresses to targets. They go before those of the host list.
+	// Targets gives addresses to targets. They take precedence over those of the
+	// host list.
 	Targets Targets `json:"targets"`
 	Stop    Stop    `json:"stop"`
 	Limits  Limits  `json:"limits"`
 }
 
 // Targets maps the name of an instance or a leaf to the base URL of its server.
-// The name of a leaf goes before that of its instance.
+// An entry for a leaf takes precedence over one for its instance.
 type Targets map[string]string
 
 // Peer is one host of the seed list.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -80,7 +80,7 @@
 			c.address(peer.OpsAddress, at.Key("ops_address"))
 		}
 		if seen[peer.Name] {
-			c.report.Add(CodeDuplicateName, at.Key("name"), "peer %q stands twice", peer.Name)
+			c.report.Add(CodeDuplicateName, at.Key("name"), "peer %q is listed twice", peer.Name)
 		}
 		seen[peer.Name] = true
 		if peer.Name == s.Name && peer.Address != s.PeerAdvertise {
