--- a/internal/document/jsonc/decode.go
+++ b/internal/document/jsonc/decode.go
@@ -1,5 +1,5 @@
 // Package jsonc decodes JSON with comments strictly: every field must be known
-// and of the right type, no key may stand twice, and each problem is reported
+// and of the right type, no key may be repeated, and each problem is reported
 // with its line and field.
 package jsonc
 
@@ -31,7 +31,7 @@
 		return report
 	}
 	report.source = &source{data: data, root: root}
-	w := walker{report: report}
+	w := walker{report: report, fields: make(map[reflect.Type]map[string]reflect.Type)}
 	w.walk(&root, reflect.TypeOf(value).Elem(), "")
 	if w.mistyped {
 		return report
@@ -50,11 +50,13 @@
 		r.addAt(CodeTooDeep, line, fmt.Sprintf("nests deeper than %d levels", maxDepth))
 		return hujson.Value{}, false
 	}
-	// Standardize later overwrites the comments of the bytes it was parsed from.
-	root, err := hujson.Parse(bytes.Clone(data))
+	// The parser needs the end of a line after a comment on the last one. It gets
+	// a copy, because Standardize overwrites the comments of what was parsed.
+	root, err := hujson.Parse(append(bytes.Clone(data), '\n'))
 	if err != nil {
 		line, message := splitSyntaxError(err)
-		r.addAt(CodeSyntax, line, message)
+		last := lineAt(data, len(data))
+		r.addAt(CodeSyntax, min(line, last), message)
 		return hujson.Value{}, false
 	}
 	return root, true
@@ -90,7 +92,7 @@
 		return 0, message
 	}
 	_, rest, _ := strings.Cut(message, ": ")
-	return line, fmt.Sprintf("column %d: %s", column, rest)
+	return line, rest
 }
 
 func invalidUTF8Line(data []byte) int {
