Run a request with a ticket at most once, across entries

A resend may reach any entry host, and hosts keep nothing. The ticket of package once names the process that decides on it; an entry forwards the request there. A forward that fails may have run, so its answer says run "unknown" and never "no". A stopping node hands its tickets to one successor and tells the others.

A request with a ticket goes on when its caller goes away, so that the resend finds the outcome; cancelling it was ruled out, since every dropped caller connection would then make an unknown outcome. Not yet tested with processes.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -243,26 +243,30 @@
 }
 
 func writeError(w http.ResponseWriter, id string, err error) {
-	k := kind.Of(err)
-	answer := k.Answer()
-	w.Header().Set(HeaderRun, string(answer.Run))
+	answer := kind.Of(err).Answer()
+	run := kind.RunOf(err)
+	w.Header().Set(HeaderRun, string(run))
 	if answer.CallerMayResend {
 		w.Header().Set("Retry-After", "1")
 	}
-	message := err.Error()
-	var kinded *kind.Error
-	if errors.As(err, &kinded) {
-		message = kinded.Err.Error()
-	}
 	writeJSON(w, answer.Status, errorBody{
 		RequestID: id,
 		Kind:      answer.Name,
-		Message:   message,
-		Run:       answer.Run,
+		Message:   messageOf(err),
+		Run:       run,
 		MayResend: answer.CallerMayResend,
 	})
 }
 
+// messageOf returns the text of an error without the name of its kind.
+func messageOf(err error) string {
+	var kinded *kind.Error
+	if errors.As(err, &kinded) {
+		return kinded.Err.Error()
+	}
+	return err.Error()
+}
+
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	data, err := json.Marshal(body)
 	if err != nil {
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -25,6 +25,9 @@
 // Serve is the Handler of requests that are not idempotent.
 func (s *Submitter) Serve(ctx context.Context, r *Request) (*Answer, error) {
 	err := error(kind.Errorf(kind.Unavailable, "no leaf can take the request now"))
+	if r.MarkSent != nil && !r.MarkSent() {
+		return nil, kind.Errorf(kind.AlreadyRunning, "the request's ticket is no longer good")
+	}
 	attempt := 0
 	for _, leaf := range s.leaves(r) {
 		for _, host := range s.router.Holders(leaf) {
@@ -100,5 +103,5 @@
 }
 
 func notRun(err error) bool {
-	return kind.Of(err).Answer().Run == kind.RunNo
+	return kind.RunOf(err) == kind.RunNo
 }
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -42,6 +42,9 @@
 	Received    time.Time
 	Deadline    time.Time
 	Fingerprint []byte
+	// MarkSent is called directly before the first byte of a request that is not
+	// idempotent may be sent; the request is not sent if it returns false.
+	MarkSent func() bool
 	// Target is the service in the document in force, set by the chain.
 	Target *document.ServiceEntry
 	Index  *document.Index
--- a/internal/kind/kind.go
+++ b/internal/kind/kind.go
@@ -134,7 +134,9 @@
 // Error is an error with a kind of the closed list.
 type Error struct {
 	Kind Kind
-	Err  error
+	// Run takes the place of the value in the table of kinds if it is not empty.
+	Run Run
+	Err error
 }
 
 // Errorf returns an *Error with a formatted message.
@@ -142,6 +144,25 @@
 	return &Error{Kind: k, Err: fmt.Errorf(format, args...)}
 }
 
+// WithRun returns err with a value of Run that takes the place of the one in
+// the table of kinds.
+func WithRun(err error, run Run) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return &Error{Kind: e.Kind, Run: run, Err: e.Err}
+	}
+	return &Error{Kind: Of(err), Run: run, Err: err}
+}
+
+// RunOf says whether a request that failed with err has run.
+func RunOf(err error) Run {
+	var e *Error
+	if errors.As(err, &e) && e.Run != "" {
+		return e.Run
+	}
+	return Of(err).Answer().Run
+}
+
 // Error implements the error interface.
 func (e *Error) Error() string { return e.Kind.String() + ": " + e.Err.Error() }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/redwingshelf/redwingshelf/internal/blob"
 	"github.com/redwingshelf/redwingshelf/internal/entry"
 	"github.com/redwingshelf/redwingshelf/internal/holder"
+	"github.com/redwingshelf/redwingshelf/internal/once"
 	"github.com/redwingshelf/redwingshelf/internal/peer"
 	"github.com/redwingshelf/redwingshelf/internal/routing"
 	"github.com/redwingshelf/redwingshelf/internal/settings"
@@ -45,6 +46,9 @@
 	peers       *peer.Server
 	callers     *http.Server
 	operators   *http.Server
+	self        once.Process
+	tickets     *entry.Tickets
+	forwarded   entry.Handler
 	config      *blob.Controller
 	hosts       *blob.Controller
 	ready       atomic.Bool
@@ -76,6 +80,8 @@
 	hello := wire.Hello{Host: s.Name, Incarnation: n.incarnation}
 	n.pool = peer.NewPool(hello, nil)
 	n.holder = holder.New(n.table, nil, n.dialLeaf, n.scope)
+	n.self = n.process()
+	n.tickets = entry.NewTickets(n.self, &holders{node: n})
 	n.peers = peer.NewServer(open.peer, hello, &peerHandler{node: n})
 	n.config = n.newConfigController()
 	n.hosts = n.newHostsController()
@@ -146,11 +152,13 @@
 // balancer lags, waits for running requests and then closes.
 func (n *Node) stop() error {
 	n.stopping.Store(true)
+	n.tickets.Stop()
 	n.logger.Info("node stopping")
 	time.Sleep(n.settings.Stop.BalancerLag())
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	err := n.callers.Shutdown(ctx)
+	n.handOverTickets(ctx)
 	return errors.Join(err, n.close())
 }
 
@@ -176,10 +184,14 @@
 		entry.Measure(n.scope.SubScope("entry")),
 		entry.Identify(n.table),
 		entry.Deadline(),
+		entry.AtMostOnce(n.tickets),
 	)
+	n.forwarded = entry.Chain(func(ctx context.Context, r *entry.Request) (*entry.Answer, error) {
+		return n.tickets.Serve(ctx, r, submitter.Serve)
+	}, entry.Identify(n.table), entry.Deadline())
 	limits := n.settings.Limits
 	return &http.Server{
-		Handler:           entry.NewHTTP(handler, n.issueTicket, int64(limits.MaxBodyBytes)),
+		Handler:           entry.NewHTTP(handler, n.tickets.Issue, int64(limits.MaxBodyBytes)),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadTimeout:       limits.ReadTimeout(),
 		ReadHeaderTimeout: limits.ReadTimeout(),
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -74,6 +74,12 @@
 		return p.scatter(ctx, frame, reply)
 	case wire.TypeHeld:
 		return p.held(ctx, frame, reply)
+	case wire.TypeForward:
+		return p.forward(ctx, frame, reply)
+	case wire.TypeProcess:
+		return p.process(ctx, reply)
+	case wire.TypeHandover:
+		return p.handover(ctx, frame, reply)
 	default:
 		return kind.Errorf(kind.BadRequest, "message type %d is not a call", frame.Type)
 	}
@@ -81,9 +87,12 @@
 
 // HandleMessage implements peer.Handler.
 func (p *peerHandler) HandleMessage(_ wire.Hello, frame wire.Frame) {
-	if frame.Type == wire.TypeBlob {
+	switch frame.Type {
+	case wire.TypeBlob:
 		p.node.config.Deliver(frame.Payload)
 		p.node.hosts.Deliver(frame.Payload)
+	case wire.TypeHandoverNote:
+		p.node.learnHandover(frame.Payload)
 	}
 }
 
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"strconv"
 	"sync"
 
 	"go.uber.org/zap"
@@ -12,7 +11,6 @@
 	"github.com/redwingshelf/redwingshelf/internal/confsync"
 	"github.com/redwingshelf/redwingshelf/internal/document"
 	"github.com/redwingshelf/redwingshelf/internal/hostlist"
-	"github.com/redwingshelf/redwingshelf/internal/kind"
 	"github.com/redwingshelf/redwingshelf/internal/target"
 )
 
@@ -83,7 +81,7 @@
 // Apply implements confsync.Differ.
 func (differ) Apply(from, delta []byte) ([]byte, error) { return document.Apply(from, delta) }
 
-func (n *Node) self() confsync.Peer {
+func (n *Node) syncPeer() confsync.Peer {
 	return confsync.Peer{
 		Name:        n.settings.Name,
 		Address:     n.settings.PeerAdvertise,
@@ -106,7 +104,7 @@
 	return blob.Options{
 		Sync: confsync.Options{
 			Blob:      name,
-			Self:      n.self(),
+			Self:      n.syncPeer(),
 			Seeds:     n.seeds(),
 			Check:     check,
 			Differ:    differ{},
@@ -178,11 +176,3 @@
 	n.config.SetMembers(members)
 	n.hosts.SetMembers(members)
 }
-
-// issueTicket returns a ticket that names this process.
-func (n *Node) issueTicket() (string, error) {
-	if n.stopping.Load() {
-		return "", kind.Errorf(kind.Stopping, "this host is stopping")
-	}
-	return n.settings.Name + "~" + strconv.FormatUint(n.incarnation, 16), nil
-}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -30,6 +30,9 @@
 	index   *document.Index
 	holders map[string][]entry.Host
 	permits map[string]holder.Permit
+	// addresses maps the hosts of the list to their peer addresses.
+	addresses map[string]string
+	peers     []string
 }
 
 // New returns the table of the named host without a document.
@@ -86,29 +89,47 @@
 // Permit implements holder.Permits.
 func (t *Table) Permit(leaf string) holder.Permit { return t.view.Load().permits[leaf] }
 
+// Address returns the peer address of a host in the list in force.
+func (t *Table) Address(host string) (string, bool) {
+	address, found := t.view.Load().addresses[host]
+	return address, found
+}
+
+// PeerAddresses returns the peer addresses of the other hosts that are live, in
+// the order of the list.
+func (t *Table) PeerAddresses() []string { return t.view.Load().peers }
+
 // rebuild needs mu.
 func (t *Table) rebuild() {
-	if t.loaded == nil {
-		return
-	}
 	v := &view{
-		index:   t.loaded.Index,
-		holders: map[string][]entry.Host{},
-		permits: map[string]holder.Permit{},
+		holders:   map[string][]entry.Host{},
+		permits:   map[string]holder.Permit{},
+		addresses: map[string]string{},
 	}
-	if t.planner != nil {
+	if t.list != nil {
+		t.listHosts(v)
+	}
+	if t.loaded != nil {
+		v.index = t.loaded.Index
+	}
+	if t.loaded != nil && t.planner != nil {
 		t.place(v)
 	}
 	t.view.Store(v)
 }
 
-// place needs mu.
-func (t *Table) place(v *view) {
-	addresses := map[string]string{}
+// listHosts needs mu.
+func (t *Table) listHosts(v *view) {
 	for _, h := range t.list.Hosts {
-		addresses[h.Name] = h.Address
+		v.addresses[h.Name] = h.Address
+		if h.Name != t.self && h.State == hostlist.StateLive {
+			v.peers = append(v.peers, h.Address)
+		}
 	}
-	addresses[t.self] = ""
+}
+
+// place needs mu.
+func (t *Table) place(v *view) {
 	plan := t.planner.Plan(t.loaded.Document)
 	for id := range document.LeafID(v.index.NumLeaves()) {
 		leaf := v.index.Leaf(id)
@@ -116,7 +137,7 @@
 		for i, share := range placed.Shares {
 			v.holders[leaf.Name] = append(v.holders[leaf.Name], entry.Host{
 				Name:    share.Owner,
-				Address: addresses[share.Owner],
+				Address: t.holderAddress(v, share.Owner),
 				Slots:   share.Slots,
 			})
 			if share.Owner == t.self {
@@ -129,3 +150,11 @@
 		}
 	}
 }
+
+// holderAddress returns the peer address of a host, empty for this one.
+func (t *Table) holderAddress(v *view, host string) string {
+	if host == t.self {
+		return ""
+	}
+	return v.addresses[host]
+}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -39,6 +39,11 @@
 	TypeHeldResult
 	TypeForward
 	TypeForwardResult
+	TypeHandover
+	TypeHandoverResult
+	TypeHandoverNote
+	TypeProcess
+	TypeProcessResult
 	TypeBeat
 	TypeMember
 	TypeBlob
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -70,3 +70,43 @@
 	From     uint32
 	To       uint32
 }
+
+// Forward passes a request with a ticket to the process that decides on it.
+type Forward struct {
+	RequestID string
+	Ticket    string
+	Customer  string
+	Service   string
+	Class     string
+	Key       string
+	// BudgetMicros is the time left until the deadline, in microseconds.
+	BudgetMicros int64
+	Body         []byte
+}
+
+// ForwardResult is the outcome of a Forward.
+type ForwardResult struct {
+	// Kind is empty for an answer, and otherwise names a kind of the closed list.
+	Kind     string
+	Run      string
+	Message  string
+	Leaf     string
+	Body     []byte
+	Replayed bool
+}
+
+// HandoverNote tells entries which process took over the tickets of another.
+type HandoverNote struct {
+	FromHost        string
+	FromIncarnation uint64
+	ToHost          string
+	ToIncarnation   uint64
+}
+
+// Process names the process that tickets name, and whether it is stopping. It
+// is both the question, then empty, and the answer.
+type Process struct {
+	Host        string
+	Incarnation uint64
+	Stopping    bool
+}
