--- a/internal/placement/leaf.go
+++ b/internal/placement/leaf.go
@@ -24,8 +24,9 @@
 type Leaf struct {
 	ID string
 	// Group names the instance; all its leaves have the same owners.
-	Group string
-	Cell  string
+	Group   string
+	Service string
+	Cell    string
 	// Direct reports a static share per host without deputies.
 	Direct bool
 	// SlotBound and ConnectionBound are the limits of the document.
@@ -35,9 +36,14 @@
 	Shares          []Share
 }
 
+// ServiceID returns the identifier of a customer's service.
+func ServiceID(customer, service string) string {
+	return customer + "/" + service
+}
+
 // GroupID returns the identifier of an instance's leaves.
 func GroupID(customer, service, instance string) string {
-	return customer + "/" + service + "/" + instance
+	return ServiceID(customer, service) + "/" + instance
 }
 
 // LeafID returns the identifier of a leaf that is unique in a document.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -78,10 +78,12 @@
 			continue
 		}
 		shares := c.shares(s)
+		service := ServiceID(customer, s.Name)
 		for _, leaf := range instance.Leaves {
 			t.add(Leaf{
 				ID:              group + "/" + leaf.Name,
 				Group:           group,
+				Service:         service,
 				Cell:            c.cell.name,
 				Direct:          s.Policy.Routing == routingDirect,
 				SlotBound:       s.Leaf.Slots,
--- /dev/null
+++ b/internal/share/contact.go
@@ -0,0 +1,103 @@
+package share
+
+import "time"
+
+// observe lapses the session if the time of the last call or the contact with
+// peers is too long ago.
+func (s *State) observe(now time.Duration) {
+	gap := now - s.last
+	s.last = now
+	if s.contactFree || !s.attached {
+		return
+	}
+	if gap >= s.opts.UseLease || now >= s.leaseEnd() {
+		s.lapse(now)
+	}
+}
+
+// leaseEnd returns until when the contact with peers permits the use of shares.
+func (s *State) leaseEnd() time.Duration {
+	var end time.Duration
+	for _, p := range s.peers {
+		if p.contact && p.contacted {
+			end = max(end, p.contactAt+s.opts.UseLease)
+		}
+	}
+	return end
+}
+
+// lapse ends the session: no share may be used until contact has been
+// confirmed anew and each share's deputy has acknowledged the new session.
+func (s *State) lapse(now time.Duration) {
+	s.session++
+	s.sessionStart = now
+	s.attached = false
+	s.current = false
+	s.nextBeat = now
+	s.dropAll()
+	for _, t := range s.taken {
+		t.startRelease(now)
+	}
+}
+
+// dropAll ends the use of every share at once.
+func (s *State) dropAll() {
+	for _, l := range s.leaves {
+		for i := range l.shares {
+			l.shares[i].held = 0
+		}
+		l.sum()
+	}
+}
+
+// attach starts the use of shares in this session: through a peer that is
+// attached, or if all hosts but one that none of them hears are accounted for.
+func (s *State) attach(now time.Duration) {
+	if !s.attached {
+		s.attached = !s.stopped[s.opts.Host] && (s.attachedPeer(now) || s.allAccounted(now))
+	}
+	if s.attached && s.view.revision >= s.known {
+		s.current = true
+	}
+}
+
+// attachedPeer reports contact in this session with a peer that is attached.
+func (s *State) attachedPeer(now time.Duration) bool {
+	for _, p := range s.peers {
+		if p.contact && p.flags&FlagAttached != 0 && s.inContact(p, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// inContact reports two-way contact in this session within the lease.
+func (s *State) inContact(p *peer, now time.Duration) bool {
+	return p.contacted && p.contactAt >= s.sessionStart && now < p.contactAt+s.opts.UseLease
+}
+
+// allAccounted reports that every other host is in contact, has ended or has
+// been fenced.
+func (s *State) allAccounted(now time.Duration) bool {
+	for _, p := range s.peers {
+		if !s.concerns(p) || s.stopped[p.name] {
+			continue
+		}
+		if !s.inContact(p, now) && !p.ended() && !s.gone(p, now, s.longestCall) {
+			return false
+		}
+	}
+	return true
+}
+
+// concerns reports whether a host belongs to a view that may be in force.
+func (s *State) concerns(p *peer) bool {
+	_, unsettled := s.unsettled[p.name]
+	return unsettled || s.view.members[p.name]
+}
+
+// predecessorEnd is when every call of an earlier process of this host must
+// have ended.
+func (s *State) predecessorEnd() time.Duration {
+	return s.start + s.longestCall + s.opts.Margin
+}
--- /dev/null
+++ b/internal/share/fence.go
@@ -0,0 +1,63 @@
+package share
+
+import "time"
+
+// evaluateFences finds hosts that no other host has heard for a common interval
+// of at least one lease. Such a host has lost all contact and its session has
+// lapsed, because a lease starts when a heartbeat that a peer hears was sent.
+func (s *State) evaluateFences(now time.Duration) {
+	for _, p := range s.peers {
+		p.fenced = false
+		if s.concerns(p) && s.fenceable(p) {
+			p.silentSince, p.fenced = s.commonSilence(p, now)
+		}
+	}
+}
+
+// fenceable reports whether the host needs contact to use shares in every view
+// that it may have in force.
+func (s *State) fenceable(p *peer) bool {
+	if s.unsettled[p.name] {
+		return false
+	}
+	return !s.view.members[p.name] || !s.view.contactFree()
+}
+
+// commonSilence returns the start of an interval in which neither this process
+// nor any other host heard target, and whether it covers a lease.
+func (s *State) commonSilence(target *peer, now time.Duration) (time.Duration, bool) {
+	since := target.heardAt
+	until := now
+	for _, p := range s.peers {
+		if p == target || !s.concerns(p) || s.stopped[p.name] {
+			continue
+		}
+		if s.opts.unsafeTake && !s.inContact(p, now) {
+			continue
+		}
+		heard, ok := p.reportOn(target.name)
+		if !ok || !p.contacted {
+			return 0, false
+		}
+		since = max(since, heard)
+		until = min(until, p.contactAt)
+	}
+	return since, until-since >= s.opts.UseLease+s.opts.Margin
+}
+
+// gone reports that the last known process of a host uses no share and that all
+// its calls of at most maxCall have ended.
+func (s *State) gone(p *peer, now, maxCall time.Duration) bool {
+	if s.stopped[p.name] {
+		return true
+	}
+	if p.ended() {
+		if s.opts.ExitEndsCalls {
+			return true
+		}
+		if now >= p.endedAt+maxCall+s.opts.Margin {
+			return true
+		}
+	}
+	return p.fenced && now >= p.silentSince+s.opts.UseLease+maxCall+s.opts.Margin
+}
--- /dev/null
+++ b/internal/share/mark.go
@@ -0,0 +1,88 @@
+package share
+
+// toldWarm reports that the holder of the first share judges the leaf warm, and
+// this process has not found that wrong since.
+func (l *leaf) toldWarm() bool {
+	return l.told.Warm && l.told != l.refuted
+}
+
+// MarkLeaf records this process's judgement of a leaf. The holder of the first
+// share passes it on to the other owners; another owner that finds a leaf cold
+// stops using it until it is told a new judgement.
+func (s *State) MarkLeaf(leafID string, incarnation uint64, warm bool) {
+	l, ok := s.leaves[leafID]
+	if !ok {
+		return
+	}
+	if !warm {
+		l.refuted = l.told
+	}
+	if l.mine.Epoch > 0 && l.mine.Incarnation == incarnation && l.mine.Warm == warm {
+		return
+	}
+	l.mine = Mark{Leaf: l.hash, Incarnation: incarnation, Epoch: l.mine.Epoch + 1, Warm: warm}
+	s.markVersion++
+}
+
+// Hint returns the latest judgement of a leaf by another process, and false if
+// there is none.
+func (s *State) Hint(leafID string) (Mark, bool) {
+	l, ok := s.leaves[leafID]
+	if !ok {
+		return Mark{}, false
+	}
+	if l.handlesCold() {
+		return l.hint, l.hint.Epoch > 0
+	}
+	return l.told, l.told.Epoch > 0
+}
+
+// marksFor returns the judgements that concern a host.
+func (s *State) marksFor(host string) []Mark {
+	var marks []Mark
+	for _, l := range s.leaves {
+		if l.mine.Epoch == 0 || l.held() == 0 || !l.concerns(host) {
+			continue
+		}
+		mark := l.mine
+		mark.First = l.handlesCold()
+		marks = append(marks, mark)
+	}
+	return marks
+}
+
+// concerns reports whether a host owns a share of the leaf or is a deputy.
+func (l *leaf) concerns(host string) bool {
+	for i := range l.shares {
+		if l.shares[i].Owner == host || l.shares[i].Deputy == host {
+			return true
+		}
+	}
+	return false
+}
+
+// recordMarks takes the sender's judgements over.
+func (s *State) recordMarks(p *peer, b Beat) {
+	if b.Flags&FlagMarks == 0 || b.MarkVersion == p.marksApplied {
+		return
+	}
+	for _, m := range b.Marks {
+		l := s.byHash[m.Leaf]
+		switch {
+		case l == nil:
+		case m.First:
+			l.told = m
+		default:
+			l.hint = m
+		}
+	}
+	p.marksApplied = b.MarkVersion
+}
+
+// resendMarks makes every peer send and receive all marks again.
+func (s *State) resendMarks() {
+	s.markVersion++
+	for _, p := range s.peers {
+		p.marksApplied = 0
+	}
+}
--- /dev/null
+++ b/internal/share/take.go
@@ -0,0 +1,155 @@
+package share
+
+import "time"
+
+// takeover records that this process uses shares of a host as its deputy.
+type takeover struct {
+	at time.Duration
+	// releasing is set once the shares are no longer used and running calls
+	// are awaited.
+	releasing  bool
+	releasedAt time.Duration
+}
+
+// startRelease ends the takeover as soon as its calls have ended.
+func (t *takeover) startRelease(now time.Duration) {
+	if !t.releasing {
+		t.releasing = true
+		t.releasedAt = now
+	}
+}
+
+// returnTaken returns shares to owners that can use them again, and forgets
+// takeovers whose calls have ended.
+func (s *State) returnTaken(now time.Duration) {
+	for name, t := range s.taken {
+		if s.canReturn(s.peers[name], t) {
+			t.startRelease(now)
+			s.dropTaken(name)
+		}
+		if t.releasing && s.takenDrained(name, t, now) {
+			delete(s.taken, name)
+		}
+	}
+}
+
+// canReturn reports whether the owner is able to use its shares again.
+func (s *State) canReturn(p *peer, t *takeover) bool {
+	if p == nil || p.heardAt <= t.at {
+		return false
+	}
+	attached := p.flags&FlagAttached != 0 && p.flags&FlagStopping == 0
+	return attached && p.revision >= s.view.revision
+}
+
+// dropTaken ends the use of an owner's shares.
+func (s *State) dropTaken(owner string) {
+	for _, l := range s.leaves {
+		for i := range l.shares {
+			if sh := &l.shares[i]; sh.role == roleDeputy && sh.Owner == owner {
+				sh.held = 0
+			}
+		}
+		l.sum()
+	}
+}
+
+// takenDrained reports that no call of an owner's shares is running.
+func (s *State) takenDrained(owner string, t *takeover, now time.Duration) bool {
+	for _, l := range s.leaves {
+		for i := range l.shares {
+			sh := &l.shares[i]
+			if sh.role == roleDeputy && sh.Owner == owner && !s.drained(l, t.releasedAt, now) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// updateLeaves starts the use of every share whose rules are met.
+func (s *State) updateLeaves(now time.Duration) {
+	if !s.attached || !s.current || s.stopping {
+		return
+	}
+	for _, l := range s.leaves {
+		if now < s.start+l.maxCall+s.opts.Margin {
+			continue
+		}
+		changed := false
+		for i := range l.shares {
+			changed = s.updateShare(l, &l.shares[i], now) || changed
+		}
+		if changed {
+			l.sum()
+			s.markVersion++
+		}
+	}
+}
+
+// updateShare starts the use of one share if its rules are met.
+func (s *State) updateShare(l *leaf, sh *share, now time.Duration) bool {
+	if sh.role == roleNone || sh.held == sh.Slots || !sh.stable {
+		return false
+	}
+	if sh.role == roleOwner {
+		if sh.held == 0 && !s.notTaken(sh, l, now) {
+			return false
+		}
+		sh.held = sh.Slots
+		return true
+	}
+	return s.take(l, sh, now)
+}
+
+// notTaken reports that the deputy does not use the share: it has acknowledged
+// this session within the lease, or it is gone.
+func (s *State) notTaken(sh *share, l *leaf, now time.Duration) bool {
+	if sh.Deputy == "" {
+		return true
+	}
+	p := s.peer(sh.Deputy)
+	acknowledged := p.ackedSession == s.session && s.inContact(p, now)
+	return acknowledged || s.gone(p, now, l.maxCall)
+}
+
+// take starts the use of a share as deputy if its owner does not use it.
+func (s *State) take(l *leaf, sh *share, now time.Duration) bool {
+	owner := s.peer(sh.Owner)
+	t := s.taken[sh.Owner]
+	if t != nil && t.releasing {
+		return false
+	}
+	if !s.gone(owner, now, l.maxCall) && !s.handedOver(owner, l) {
+		return false
+	}
+	if t == nil {
+		s.taken[sh.Owner] = &takeover{at: now}
+	}
+	sh.held = sh.Slots
+	return true
+}
+
+// handedOver reports that a stopping owner has no call of the leaf running.
+func (s *State) handedOver(owner *peer, l *leaf) bool {
+	if owner.flags&FlagStopping == 0 {
+		return false
+	}
+	for _, hash := range owner.draining {
+		if hash == l.hash {
+			return false
+		}
+	}
+	return true
+}
+
+// drainingLeaves returns the leaves with running calls.
+func (s *State) drainingLeaves() []uint64 {
+	var draining []uint64
+	for _, l := range s.leaves {
+		if l.inUse > 0 {
+			draining = append(draining, l.hash)
+		}
+	}
+	return draining
+}
