Spread versioned blobs from a few readers to all nodes

The configuration service bears 2,000 reads a second over all readers, so 600 nodes can't each watch it, and it may be stale or down when a node starts. A Syncer reads by rank within the data centre, announces what it accepts with the difference, and serves only after it has asked peers and the service.

--- /dev/null
+++ b/internal/confsync/syncer_test.go
@@ -0,0 +1,230 @@
+package confsync
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const testSize = 2000
+
+// started returns a fleet that is ready with the given revision.
+func started(t require.TestingT, n int, seed, revision uint64) *fleet {
+	f := newFleet(n, seed)
+	f.publish(document(revision, "a", testSize))
+	f.startAll()
+	f.timeToAll(revision, time.Minute)
+	require.Equal(t, n, f.inForce(revision))
+	return f
+}
+
+func rejections(f *fleet, reason Reason) int {
+	count := 0
+	for _, n := range f.nodes {
+		for _, r := range n.rejected {
+			if r.Reason == reason {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func TestChangeReachesEveryNode(t *testing.T) {
+	for _, n := range []int{1, 2, 6, 24, 96, 600} {
+		for _, loss := range []float64{0, 0.1} {
+			t.Run(fmt.Sprintf("nodes=%d,loss=%v", n, loss), func(t *testing.T) {
+				f := started(t, n, 1, 1)
+				f.loss = loss
+				f.run(20 * time.Second)
+				f.publish(document(2, "a", testSize))
+				took := f.timeToAll(2, time.Minute)
+				require.LessOrEqual(t, took, 3*time.Second)
+				require.Empty(t, f.faults)
+			})
+		}
+	}
+}
+
+func TestQuickSuccessionEndsAtTheLast(t *testing.T) {
+	f := started(t, 24, 2, 1)
+	f.loss = 0.1
+	for revision := uint64(2); revision <= 9; revision++ {
+		f.publish(document(revision, "a", testSize))
+		f.run(50 * time.Millisecond)
+	}
+	require.LessOrEqual(t, f.timeToAll(9, time.Minute), 5*time.Second)
+	require.Empty(t, f.faults)
+}
+
+func TestStartOfTheWholeFleetStaysWithinTheReadBudget(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		f := newFleet(600, 3)
+		f.publish(document(1, "a", testSize))
+		f.down = down
+		f.startAll()
+		f.run(30 * time.Second)
+		require.LessOrEqual(t, f.greatestReadRate(), 200, "service down: %v", down)
+		if !down {
+			require.Equal(t, 600, f.inForce(1))
+		}
+	}
+}
+
+func TestRefusedDocumentLeavesTheOldOneInForce(t *testing.T) {
+	f := started(t, 6, 4, 1)
+	f.reads = nil
+	f.publish(document(2, "bad", testSize))
+	f.run(time.Minute)
+	require.Equal(t, 6, f.inForce(1))
+	require.Positive(t, rejections(f, CheckFailed))
+	require.Less(t, len(f.reads), 120)
+	f.publish(document(3, "a", testSize))
+	require.LessOrEqual(t, f.timeToAll(3, time.Minute), 5*time.Second)
+}
+
+func TestSameRevisionWithOtherBytesIsRefused(t *testing.T) {
+	f := started(t, 6, 5, 7)
+	before := f.nodes[0].syncer.Identity()
+	f.publish(document(7, "b", testSize))
+	f.start(f.nodes[5])
+	f.run(time.Minute)
+	for _, n := range f.nodes {
+		require.Equal(t, before, n.syncer.Identity(), n.self.Name)
+	}
+	require.Positive(t, rejections(f, DigestConflict))
+}
+
+func TestReadersFindOtherBytesOfTheRevisionInForce(t *testing.T) {
+	f := started(t, 6, 6, 7)
+	f.publish(document(7, "b", testSize))
+	f.run(11 * time.Minute)
+	require.Positive(t, rejections(f, DigestConflict))
+	require.Equal(t, 6, f.inForce(7))
+}
+
+func TestRestartsWhileTheServiceIsStale(t *testing.T) {
+	for _, n := range []int{6, 96} {
+		f := started(t, n, 7, 9)
+		f.publish(document(5, "a", testSize))
+		for _, restarted := range f.nodes[1:] {
+			f.start(restarted)
+		}
+		require.LessOrEqual(t, f.timeToAll(9, time.Minute), 10*time.Second)
+		require.Empty(t, f.faults)
+		f.run(time.Minute)
+		require.Equal(t, n, f.inForce(9))
+		require.Positive(t, rejections(f, ServiceBehind))
+	}
+}
+
+// The restart of all nodes while the service is stale loses the newest
+// revision; a minimum revision in the settings keeps them from serving.
+func TestRestartOfAllWhileTheServiceIsStale(t *testing.T) {
+	f := started(t, 6, 8, 9)
+	f.publish(document(5, "a", testSize))
+	for _, n := range f.nodes {
+		n.syncer = nil
+	}
+	f.startAll()
+	f.nodes[0].syncer.opts.MinimumRevision = 9
+	f.run(10 * time.Second)
+	require.Equal(t, 5, f.inForce(5))
+	require.False(t, f.nodes[0].syncer.Ready())
+	f.publish(document(10, "a", testSize))
+	f.run(10 * time.Second)
+	require.Equal(t, 6, f.inForce(10))
+}
+
+func TestServiceDown(t *testing.T) {
+	f := started(t, 6, 9, 3)
+	f.down = true
+	f.start(f.nodes[2])
+	require.LessOrEqual(t, f.timeToAll(3, time.Minute), 10*time.Second)
+	f.reads = nil
+	f.run(time.Minute)
+	require.Less(t, len(f.reads), 6*12)
+	f.down = false
+	f.publish(document(4, "a", testSize))
+	require.LessOrEqual(t, f.timeToAll(4, time.Minute), 35*time.Second)
+}
+
+func TestNextRankReadsWhenTheFirstIsSilent(t *testing.T) {
+	f := started(t, 6, 10, 1)
+	f.run(5 * time.Second)
+	for _, n := range f.nodes {
+		if n.syncer.reader.rank == 0 {
+			n.syncer = nil
+		}
+	}
+	f.nodes = append([]*node(nil), f.running()...)
+	f.run(2 * time.Second)
+	f.publish(document(2, "a", testSize))
+	require.LessOrEqual(t, f.timeToAll(2, time.Minute), 3*time.Second)
+}
+
+func (f *fleet) running() []*node {
+	var running []*node
+	for _, n := range f.nodes {
+		if n.syncer != nil {
+			running = append(running, n)
+		}
+	}
+	return running
+}
+
+func TestFetchInChunksSurvivesLoss(t *testing.T) {
+	f := started(t, 6, 11, 1)
+	f.loss = 0.2
+	for _, n := range f.nodes {
+		n.syncer.history.differ = noDiffer{}
+	}
+	f.publish(document(2, "a", 470<<10))
+	require.LessOrEqual(t, f.timeToAll(2, time.Minute), 15*time.Second)
+	for _, n := range f.nodes {
+		require.Empty(t, n.rejected)
+	}
+	f.publish(document(1, "a", testSize))
+	f.start(f.nodes[0])
+	require.LessOrEqual(t, f.timeToAll(2, time.Minute), 30*time.Second)
+	require.Empty(t, f.faults)
+}
+
+type noDiffer struct{ headDiffer }
+
+func (noDiffer) Delta(_, _ []byte) []byte { return nil }
+
+// No node goes back within an incarnation, and none becomes ready with an
+// older revision than its reachable ready peers had when it started.
+func TestNeverOlder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 8).Draw(t, "nodes")
+		f := started(t, n, rapid.Uint64().Draw(t, "seed"), 1)
+		newest := uint64(1)
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			picked := f.nodes[rapid.IntRange(0, n-1).Draw(t, "node")]
+			switch rapid.SampledFrom([]string{"publish", "stale", "down", "restart", "cut", "heal", "loss"}).Draw(t, "step") {
+			case "publish":
+				newest++
+				f.publish(document(newest, "a", testSize))
+			case "stale":
+				f.publish(document(rapid.Uint64Range(1, newest).Draw(t, "stale"), "a", testSize))
+			case "down":
+				f.down = !f.down
+			case "restart":
+				f.start(picked)
+			case "cut":
+				f.cut(picked)
+			case "heal":
+				clear(f.side)
+			case "loss":
+				f.loss = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "loss")
+			}
+			f.run(time.Duration(rapid.IntRange(0, 8000).Draw(t, "pause")) * time.Millisecond)
+		}
+		require.Empty(t, f.faults)
+	})
+}
