Divide the use of leaves among hosts by shares and heartbeats

Each host used its placed share whatever other hosts did, so two hosts with different host lists could pass a leaf's slots. A refused connection proves that the process known before the dial has ended; a proof without that incarnation was ruled out, since a restarted process could be taken for the dead one.

--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -185,22 +185,11 @@
 
 // nextHolder returns a holder of the leaf that has not been asked.
 func (run *searchRun) nextHolder(call *leafCall) (Host, bool) {
-	for _, host := range run.searcher.router.Holders(call.choice.Leaf) {
-		if !contains(call.tried, host.Name) {
-			call.tried = append(call.tried, host.Name)
-			return host, true
-		}
-	}
-	return Host{}, false
-}
-
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
+	host, found := pickHolder(run.searcher.router, call.choice.Leaf, call.tried)
+	if found {
+		call.tried = append(call.tried, host.Name)
 	}
-	return false
+	return host, found
 }
 
 // send starts one batch.
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -30,7 +30,13 @@
 	}
 	attempt := 0
 	for _, leaf := range s.leaves(r) {
-		for _, host := range s.router.Holders(leaf) {
+		var tried []string
+		for {
+			host, found := pickHolder(s.router, leaf, tried)
+			if !found {
+				break
+			}
+			tried = append(tried, host.Name)
 			attempt++
 			var answer *Answer
 			answer, err = s.try(ctx, r, host, leaf, attempt)
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -82,6 +82,8 @@
 	Address string
 	// Slots is the size of the share.
 	Slots int
+	// Deputy is set for a host that uses the share only while its owner can't.
+	Deputy bool
 }
 
 // Router knows where the shares of leaves are. Implementations are safe for
@@ -89,8 +91,11 @@
 type Router interface {
 	// Index returns the document in force, nil before the first one.
 	Index() *document.Index
-	// Holders returns the hosts that can call a leaf, the preferred ones first.
+	// Holders returns the hosts that can call a leaf: the owners of its shares,
+	// the one that handles a cold leaf first, and then their deputies.
 	Holders(leaf string) []Host
+	// Down reports whether a host is known not to serve now.
+	Down(host string) bool
 }
 
 // Holders reaches the nodes that hold shares, this node included.
--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -66,10 +66,12 @@
 	l.observe(now, &answer.Report)
 	l.tracker.Success(now, warmup.Answer{
 		Sent:        epoch,
-		Incarnation: answer.Incarnation,
+		Incarnation: incarnationKey(hashOf(answer.Incarnation)),
 		Latency:     latency,
 		Cold:        answer.State == target.StateCold,
 	})
+	l.judge(now)
+	l.holder.permits.End(l.name)
 	l.dispatch(l.scheduler.SetSlots(now, l.tracker.Bound(now)))
 	l.dispatch(l.scheduler.Done(now, id))
 	l.armExpiry(now)
@@ -100,16 +102,25 @@
 	l.observe(now, &callErr.Report)
 	k := kind.Of(err)
 	if reason, counts := reasons[k]; counts {
-		l.tracker.Failed(now, warmup.Failure{Sent: epoch, Incarnation: callErr.Incarnation, Reason: reason})
+		l.tracker.Failed(now, warmup.Failure{Sent: epoch, Incarnation: failedIncarnation(callErr), Reason: reason})
+		l.judge(now)
 	}
 	if settled(k, callErr) {
-		l.releaseLocked(id)
+		l.settleLocked(id)
 		return result
 	}
 	l.settleLater(id, time.Until(deadline)+unsettledGuard)
 	return result
 }
 
+// failedIncarnation returns the incarnation that a failure names, if any.
+func failedIncarnation(e *target.CallError) string {
+	if e.Incarnation == "" {
+		return ""
+	}
+	return incarnationKey(hashOf(e.Incarnation))
+}
+
 // settled reports whether the leaf certainly does not run the call any more.
 func settled(k kind.Kind, e *target.CallError) bool {
 	return e.Incarnation != "" || k.Answer().Run == kind.RunNo
@@ -120,5 +131,5 @@
 	if l.closed {
 		return
 	}
-	l.unsettled[id] = time.AfterFunc(max(delay, unsettledGuard), func() { l.release(id) })
+	l.unsettled[id] = time.AfterFunc(max(delay, unsettledGuard), func() { l.settle(id) })
 }
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -184,11 +184,15 @@
 	if err != nil {
 		return nil, 0, Permit{}, err
 	}
-	permit, err = h.check(c)
-	if err != nil {
+	if _, err := h.check(c); err != nil {
 		l.release(id)
 		return nil, 0, Permit{}, err
 	}
+	permit, begun := h.permits.Begin(c.Leaf)
+	if !begun {
+		l.release(id)
+		return nil, 0, Permit{}, kind.Errorf(kind.NotHolder, "this host may use no slot of leaf %q now", c.Leaf)
+	}
 	return l, id, permit, nil
 }
 
@@ -261,16 +265,20 @@
 	return all
 }
 
-// InUse returns the number of calls that hold or wait for a slot of a leaf.
-func (h *Holder) InUse(name string) int {
-	s := h.shard(name)
-	s.mu.RLock()
-	l := s.leaves[name]
-	s.mu.RUnlock()
-	if l == nil {
-		return 0
+// Busy reports whether any call holds or waits for a slot.
+func (h *Holder) Busy() bool {
+	for i := range h.shards {
+		s := &h.shards[i]
+		s.mu.RLock()
+		for _, l := range s.leaves {
+			if l.inUse() > 0 {
+				s.mu.RUnlock()
+				return true
+			}
+		}
+		s.mu.RUnlock()
 	}
-	return l.inUse()
+	return false
 }
 
 func refused(c *Call, err error) wire.LeafResult {
--- a/internal/holder/leaf.go
+++ b/internal/holder/leaf.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -32,9 +34,17 @@
 	// unsettled holds the calls whose end the leaf has not confirmed.
 	unsettled map[uint64]*time.Timer
 	expiry    *time.Timer
-	report    target.Report
-	reported  bool
-	closed    bool
+	// judged is the last judgement passed to Permits.
+	judged   judgement
+	report   target.Report
+	reported bool
+	closed   bool
+}
+
+// judgement says whether an incarnation of the leaf is warm.
+type judgement struct {
+	incarnation string
+	warm        bool
 }
 
 // started is sent to a waiting call that now holds a slot.
@@ -127,8 +137,8 @@
 
 // applyPermit needs mu.
 func (l *leaf) applyPermit(now time.Duration, permit Permit) {
-	if permit.PeerWarm != "" && permit.PeerWarm != l.permit.PeerWarm {
-		l.tracker.PeerWarm(now, permit.PeerWarm)
+	if permit.PeerWarm != 0 && (permit.PeerWarm != l.permit.PeerWarm || permit.PeerEpoch != l.permit.PeerEpoch) {
+		l.tracker.PeerWarm(now, incarnationKey(permit.PeerWarm))
 	}
 	if permit.Connections != l.permit.Connections {
 		l.caller.SetConnections(permit.Connections)
@@ -155,16 +165,28 @@
 	}
 }
 
-// release ends a call that the leaf does not run.
+// release ends a call that has not begun.
 func (l *leaf) release(id uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.releaseLocked(id)
 }
 
+// settle ends a call that the leaf no longer runs.
+func (l *leaf) settle(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settleLocked(id)
+}
+
+func (l *leaf) settleLocked(id uint64) {
+	delete(l.unsettled, id)
+	l.holder.permits.End(l.name)
+	l.releaseLocked(id)
+}
+
 func (l *leaf) releaseLocked(id uint64) {
 	now := l.holder.now()
-	delete(l.unsettled, id)
 	l.dispatch(l.scheduler.SetSlots(now, l.tracker.Bound(now)))
 	l.dispatch(l.scheduler.Release(now, id))
 	l.armExpiry(now)
@@ -226,6 +248,7 @@
 	now := l.holder.now()
 	l.observe(now, report)
 	l.tracker.Hint(now, warmup.Hint{Cold: report.State == target.StateCold})
+	l.judge(now)
 }
 
 // observe needs mu. It records what a leaf says of itself.
@@ -236,7 +259,7 @@
 	if l.report.Incarnation != report.Incarnation {
 		l.settleAll()
 	}
-	l.tracker.SetIncarnation(now, report.Incarnation)
+	l.tracker.SetIncarnation(now, incarnationKey(hashOf(report.Incarnation)))
 	l.tracker.SetLeaving(now, warmup.LeafWord, report.State == target.StateLeaving)
 	l.report = *report
 	l.reported = true
@@ -245,8 +268,9 @@
 // settleAll needs mu. A new incarnation does not run the calls of the old one.
 func (l *leaf) settleAll() {
 	for id, timer := range l.unsettled {
-		timer.Stop()
-		l.releaseLocked(id)
+		if timer.Stop() {
+			l.settleLocked(id)
+		}
 	}
 }
 
@@ -295,3 +319,25 @@
 	}
 	return held
 }
+
+// judge needs mu. It passes a changed judgement of the leaf on.
+func (l *leaf) judge(now time.Duration) {
+	if !l.reported {
+		return
+	}
+	current := judgement{incarnation: l.report.Incarnation, warm: l.tracker.State(now) == warmup.Warm}
+	if current == l.judged {
+		return
+	}
+	l.judged = current
+	l.holder.permits.Judge(l.name, current.incarnation, current.warm)
+}
+
+// incarnationKey is the form in which the tracker knows an incarnation.
+func incarnationKey(hash uint64) string { return strconv.FormatUint(hash, 16) }
+
+func hashOf(incarnation string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(incarnation))
+	return h.Sum64()
+}
--- a/internal/holder/types.go
+++ b/internal/holder/types.go
@@ -18,15 +18,24 @@
 	HandlesCold bool
 	// CallUntil bounds the deadline of a call made now; zero sets no bound.
 	CallUntil time.Time
-	// PeerWarm is the incarnation that the leaf's first holder has warmed, empty
-	// if unknown.
-	PeerWarm string
+	// PeerWarm is the hash of the incarnation that another holder of the leaf
+	// has found warm, zero if none has. PeerEpoch changes with each judgement.
+	PeerWarm  uint64
+	PeerEpoch uint32
 }
 
 // Permits says what this node may use. Implementations are safe for concurrent
 // use and answer for the moment of the call.
 type Permits interface {
 	Permit(leaf string) Permit
+	// Begin records the start of a call, directly before it is sent. The call
+	// must not be sent if it returns false, and End must be called once the leaf
+	// no longer runs it.
+	Begin(leaf string) (Permit, bool)
+	// End records the end of a call.
+	End(leaf string)
+	// Judge tells whether this node finds an incarnation of a leaf warm.
+	Judge(leaf, incarnation string, warm bool)
 }
 
 // Screen refuses requests by their content.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/redwingshelf/redwingshelf/internal/holder"
 	"github.com/redwingshelf/redwingshelf/internal/once"
 	"github.com/redwingshelf/redwingshelf/internal/peer"
+	"github.com/redwingshelf/redwingshelf/internal/permit"
 	"github.com/redwingshelf/redwingshelf/internal/routing"
 	"github.com/redwingshelf/redwingshelf/internal/settings"
 	"github.com/redwingshelf/redwingshelf/internal/wire"
@@ -41,6 +42,8 @@
 	listeners   listeners
 	table       *routing.Table
 	targets     *targetAddresses
+	permits     *permit.Controller
+	beats       processes
 	holder      *holder.Holder
 	pool        *peer.Pool
 	peers       *peer.Server
@@ -51,6 +54,8 @@
 	forwarded   entry.Handler
 	config      *blob.Controller
 	hosts       *blob.Controller
+	configReady chan struct{}
+	hostsReady  chan struct{}
 	ready       atomic.Bool
 	stopping    atomic.Bool
 }
@@ -75,11 +80,18 @@
 		listeners:   *open,
 		table:       routing.New(s.Name),
 		targets:     newTargetAddresses(s.Targets),
+		configReady: make(chan struct{}),
+		hostsReady:  make(chan struct{}),
 	}
 	n.scope, n.metrics, n.closer = newScope(s)
 	hello := wire.Hello{Host: s.Name, Incarnation: n.incarnation}
-	n.pool = peer.NewPool(hello, nil)
-	n.holder = holder.New(n.table, nil, n.dialLeaf, n.scope)
+	n.pool = peer.NewPool(hello, &processWatch{node: n})
+	n.permits, err = n.newPermits()
+	if err != nil {
+		open.close()
+		return nil, err
+	}
+	n.holder = holder.New(n.permits, nil, n.dialLeaf, n.scope)
 	n.self = n.process()
 	n.tickets = entry.NewTickets(n.self, &holders{node: n})
 	n.peers = peer.NewServer(open.peer, hello, &peerHandler{node: n})
@@ -126,6 +138,8 @@
 	group.Go(func() error { return n.config.Run(groupCtx) })
 	group.Go(func() error { return n.hosts.Run(groupCtx) })
 	group.Go(func() error { return n.holder.Run(groupCtx) })
+	group.Go(func() error { return n.permits.Run(groupCtx) })
+	group.Go(func() error { return n.becomeReady(groupCtx) })
 	group.Go(func() error {
 		defer cancel()
 		select {
@@ -159,14 +173,15 @@
 	defer cancel()
 	err := n.callers.Shutdown(ctx)
 	n.handOverTickets(ctx)
+	n.handOverShares(ctx)
 	return errors.Join(err, n.close())
 }
 
 func (n *Node) close() error {
 	err := errors.Join(n.callers.Close(), n.operators.Close())
-	n.pool.Close()
-	n.peers.Close()
 	n.holder.Close()
+	n.peers.Close()
+	n.pool.Close()
 	return err
 }
 
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -61,6 +61,7 @@
 		Revision:    config.Identity.Revision,
 		Digest:      config.Identity.Digest,
 		State:       n.stateName(),
+		SharesHeld:  n.permits.Status().Held,
 		Leaves:      map[string]int{},
 		Members:     map[string]int{},
 	}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -11,6 +11,7 @@
 	"github.com/redwingshelf/redwingshelf/internal/confsync"
 	"github.com/redwingshelf/redwingshelf/internal/document"
 	"github.com/redwingshelf/redwingshelf/internal/hostlist"
+	"github.com/redwingshelf/redwingshelf/internal/routing"
 	"github.com/redwingshelf/redwingshelf/internal/target"
 )
 
@@ -120,7 +121,7 @@
 func (n *Node) newConfigController() *blob.Controller {
 	o := n.blobOptions(blobConfig, n.settings.ConfigurationService, checkDocument)
 	o.OnAccepted = n.documentAccepted
-	o.OnReady = func(confsync.BecameReady) { n.ready.Store(true) }
+	o.OnReady = func(confsync.BecameReady) { close(n.configReady) }
 	return blob.New(o)
 }
 
@@ -138,14 +139,15 @@
 		n.logger.Error("accepted document can't be loaded", zap.Error(err))
 		return
 	}
-	n.table.SetDocument(loaded)
 	n.holder.SetIndex(loaded.Index)
+	n.permits.SetDocument(loaded)
+	n.table.SetDocument(loaded)
 }
 
 func (n *Node) newHostsController() *blob.Controller {
 	o := n.blobOptions(blobHosts, n.settings.HostList, checkHosts)
 	o.OnAccepted = n.hostsAccepted
-	o.OnReady = func(confsync.BecameReady) {}
+	o.OnReady = func(confsync.BecameReady) { close(n.hostsReady) }
 	return blob.New(o)
 }
 
@@ -166,6 +168,10 @@
 	n.targets.set(list.Targets)
 	if err := n.table.SetHosts(list); err != nil {
 		n.logger.Error("host list can't be placed on", zap.Error(err))
+		return
+	}
+	if err := n.permits.SetHosts(list.Revision, routing.PlacementHosts(list)); err != nil {
+		n.logger.Error("host list can't divide the shares", zap.Error(err))
 	}
 	var members []confsync.Peer
 	for _, h := range list.Hosts {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -18,13 +18,14 @@
 	redialBackoff = 50 * time.Millisecond
 )
 
-// Observer is told about the outcome of each dial.
+// Observer is told about dials.
 type Observer interface {
-	// Connected reports a completed handshake with the host at an address.
-	Connected(address string, peer wire.Hello)
+	// Dialing is called before each dial. It returns the incarnation of the
+	// process that is known at the address, zero if none is.
+	Dialing(address string) (incarnation uint64)
 	// Refused reports that the address refused a connection, which proves that
-	// no process listens there.
-	Refused(address string)
+	// the process with the given incarnation has ended.
+	Refused(address string, incarnation uint64)
 }
 
 // Pool keeps one outgoing link for each peer address.
@@ -186,11 +187,15 @@
 	if err := p.ctx.Err(); err != nil {
 		return nil, err
 	}
+	var known uint64
+	if p.observer != nil {
+		known = p.observer.Dialing(address)
+	}
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) && p.observer != nil {
-			p.observer.Refused(address)
+		if errors.Is(err, syscall.ECONNREFUSED) && known != 0 {
+			p.observer.Refused(address, known)
 		}
 		return nil, fmt.Errorf("dial peer %s: %w", address, err)
 	}
@@ -200,9 +205,6 @@
 		_ = conn.Close()
 		return nil, fmt.Errorf("handshake with peer %s: %w", address, err)
 	}
-	if p.observer != nil {
-		p.observer.Connected(address, l.peer)
-	}
 	p.wg.Go(l.writeLoop)
 	p.wg.Go(func() { l.readLoop(reader) })
 	return l, nil
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -3,12 +3,12 @@
 package routing
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 
 	"github.com/redwingshelf/redwingshelf/internal/document"
 	"github.com/redwingshelf/redwingshelf/internal/entry"
-	"github.com/redwingshelf/redwingshelf/internal/holder"
 	"github.com/redwingshelf/redwingshelf/internal/hostlist"
 	"github.com/redwingshelf/redwingshelf/internal/placement"
 )
@@ -23,15 +23,16 @@
 	list    *hostlist.List
 	planner *placement.Planner
 	view    atomic.Pointer[view]
+	down    atomic.Pointer[map[string]bool]
 }
 
 // view is one consistent state of the table. It is never changed.
 type view struct {
 	index   *document.Index
 	holders map[string][]entry.Host
-	permits map[string]holder.Permit
 	// addresses maps the hosts of the list to their peer addresses.
 	addresses map[string]string
+	hosts     map[string]string
 	peers     []string
 }
 
@@ -39,6 +40,7 @@
 func New(self string) *Table {
 	t := &Table{self: self}
 	t.view.Store(&view{})
+	t.SetDown(nil)
 	return t
 }
 
@@ -86,8 +88,11 @@
 // Holders implements entry.Router.
 func (t *Table) Holders(leaf string) []entry.Host { return t.view.Load().holders[leaf] }
 
-// Permit implements holder.Permits.
-func (t *Table) Permit(leaf string) holder.Permit { return t.view.Load().permits[leaf] }
+// Down implements entry.Router.
+func (t *Table) Down(host string) bool { return (*t.down.Load())[host] }
+
+// SetDown replaces the set of hosts that are known not to serve.
+func (t *Table) SetDown(down map[string]bool) { t.down.Store(&down) }
 
 // Address returns the peer address of a host in the list in force.
 func (t *Table) Address(host string) (string, bool) {
@@ -95,6 +100,12 @@
 	return address, found
 }
 
+// HostAt returns the host with a peer address in the list in force.
+func (t *Table) HostAt(address string) (string, bool) {
+	host, found := t.view.Load().hosts[address]
+	return host, found
+}
+
 // PeerAddresses returns the peer addresses of the other hosts that are live, in
 // the order of the list.
 func (t *Table) PeerAddresses() []string { return t.view.Load().peers }
@@ -103,8 +114,8 @@
 func (t *Table) rebuild() {
 	v := &view{
 		holders:   map[string][]entry.Host{},
-		permits:   map[string]holder.Permit{},
 		addresses: map[string]string{},
+		hosts:     map[string]string{},
 	}
 	if t.list != nil {
 		t.listHosts(v)
@@ -122,6 +133,7 @@
 func (t *Table) listHosts(v *view) {
 	for _, h := range t.list.Hosts {
 		v.addresses[h.Name] = h.Address
+		v.hosts[h.Address] = h.Name
 		if h.Name != t.self && h.State == hostlist.StateLive {
 			v.peers = append(v.peers, h.Address)
 		}
@@ -132,23 +144,35 @@
 func (t *Table) place(v *view) {
 	plan := t.planner.Plan(t.loaded.Document)
 	for id := range document.LeafID(v.index.NumLeaves()) {
-		leaf := v.index.Leaf(id)
-		placed := plan.Leaves[id]
-		for i, share := range placed.Shares {
-			v.holders[leaf.Name] = append(v.holders[leaf.Name], entry.Host{
-				Name:    share.Owner,
-				Address: t.holderAddress(v, share.Owner),
+		v.holders[v.index.Leaf(id).Name] = t.leafHolders(v, plan.Leaves[id])
+	}
+}
+
+// leafHolders needs mu. A leaf with a static share for each host is called by
+// the entry itself.
+func (t *Table) leafHolders(v *view, leaf placement.Leaf) []entry.Host {
+	var holders, deputies []entry.Host
+	for _, share := range leaf.Shares {
+		owner := entry.Host{Name: share.Owner, Address: t.holderAddress(v, share.Owner), Slots: share.Slots}
+		if leaf.Direct && share.Owner == t.self {
+			return []entry.Host{owner}
+		}
+		holders = append(holders, owner)
+		if share.Deputy != "" {
+			deputies = append(deputies, entry.Host{
+				Name:    share.Deputy,
+				Address: t.holderAddress(v, share.Deputy),
 				Slots:   share.Slots,
+				Deputy:  true,
 			})
-			if share.Owner == t.self {
-				v.permits[leaf.Name] = holder.Permit{
-					Slots:       share.Slots,
-					Connections: share.Connections,
-					HandlesCold: i == 0,
-				}
-			}
 		}
 	}
+	for _, deputy := range deputies {
+		if !slices.ContainsFunc(holders, func(h entry.Host) bool { return h.Name == deputy.Name }) {
+			holders = append(holders, deputy)
+		}
+	}
+	return holders
 }
 
 // holderAddress returns the peer address of a host, empty for this one.
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -113,6 +113,7 @@
 	defer msgpack.PutEncoder(encoder)
 	encoder.Reset(&buffer)
 	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
 	if err := encoder.Encode(message); err != nil {
 		return nil, fmt.Errorf("encode %T: %w", message, err)
 	}
