--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -54,6 +54,7 @@
 // Status returns what operators see of the node.
 func (n *Node) Status() *status.Node {
 	config := n.config.State()
+	shares := n.permits.Status()
 	s := &status.Node{
 		Name:        n.settings.Name,
 		DataCentre:  n.settings.DataCentre,
@@ -61,7 +62,8 @@
 		Revision:    config.Identity.Revision,
 		Digest:      config.Identity.Digest,
 		State:       n.stateName(),
-		SharesHeld:  n.permits.Status().Held,
+		SharesHeld:  shares.Held,
+		Taken:       shares.Taken,
 		Leaves:      map[string]int{},
 		Members:     map[string]int{},
 	}
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -14,6 +14,8 @@
 	State string `json:"state"`
 	// SharesHeld is the number of shares that the node may use now.
 	SharesHeld int `json:"shares_held"`
+	// Taken lists the hosts whose shares the node uses as their deputy.
+	Taken []string `json:"taken"`
 	// Leaves counts the leaves that the node holds shares of, by state.
 	Leaves map[string]int `json:"leaves"`
 	// Members counts the known members of the fleet, by state.
