--- a/internal/share/contact.go
+++ b/internal/share/contact.go
@@ -73,7 +73,12 @@
 
 // inContact reports two-way contact in this session within the lease.
 func (s *State) inContact(p *peer, now time.Duration) bool {
-	return p.contacted && p.contactAt >= s.sessionStart && now < p.contactAt+s.opts.UseLease
+	return s.contactedInSession(p) && now < p.contactAt+s.opts.UseLease
+}
+
+// contactedInSession reports two-way contact in this session.
+func (s *State) contactedInSession(p *peer) bool {
+	return p.contacted && p.contactAt >= s.sessionStart
 }
 
 // allAccounted reports that every other host is in contact, has ended or has
@@ -83,7 +88,7 @@
 		if !s.concerns(p) || s.stopped[p.name] {
 			continue
 		}
-		if !s.inContact(p, now) && !p.ended() && !s.gone(p, now, s.longestCall) {
+		if !s.inContact(p, now) && !s.endedInSession(p) && !s.gone(p, now, s.longestCall) {
 			return false
 		}
 	}
@@ -97,7 +102,7 @@
 }
 
 // predecessorEnd is when every call of an earlier process of this host must
-// have ended.
+// have ended. Nothing is handed over or acknowledged before.
 func (s *State) predecessorEnd() time.Duration {
 	return s.start + s.longestCall + s.opts.Margin
 }
--- a/internal/share/fence.go
+++ b/internal/share/fence.go
@@ -5,6 +5,8 @@
 // evaluateFences finds hosts that no other host has heard for a common interval
 // of at least one lease. Such a host has lost all contact and its session has
 // lapsed, because a lease starts when a heartbeat that a peer hears was sent.
+// The reports must come from this session: after older ones the host may have
+// returned and fenced this process.
 func (s *State) evaluateFences(now time.Duration) {
 	for _, p := range s.peers {
 		p.fenced = false
@@ -36,7 +38,7 @@
 			continue
 		}
 		heard, ok := p.reportOn(target.name)
-		if !ok || !p.contacted {
+		if !ok || !s.contactedInSession(p) {
 			return 0, false
 		}
 		since = max(since, heard)
@@ -45,13 +47,19 @@
 	return since, until-since >= s.opts.UseLease+s.opts.Margin
 }
 
+// endedInSession reports proof from this session that no process of the host
+// was running. After an older proof a new process may have fenced this one.
+func (s *State) endedInSession(p *peer) bool {
+	return p.endedIncarnation > 0 && p.endedIncarnation >= p.incarnation && p.endedAt >= s.sessionStart
+}
+
 // gone reports that the last known process of a host uses no share and that all
 // its calls of at most maxCall have ended.
 func (s *State) gone(p *peer, now, maxCall time.Duration) bool {
 	if s.stopped[p.name] {
 		return true
 	}
-	if p.ended() {
+	if s.endedInSession(p) {
 		if s.opts.ExitEndsCalls {
 			return true
 		}
--- a/internal/share/leaf.go
+++ b/internal/share/leaf.go
@@ -122,10 +122,11 @@
 }
 
 // relayout returns the comparison for a change from the previous view. The
-// previous view is evaluated with the document in force.
+// previous view is evaluated with the document in force. If it was not current
+// in this session, another view may have replaced it without this process.
 func (s *State) relayout(previous *view) sameLayout {
-	if previous == nil || s.doc == nil {
-		return sameHosts
+	if previous == nil || s.doc == nil || !s.current {
+		return func(string, int, placement.Share, placement.Share) bool { return false }
 	}
 	before := previous.planner.PlanCell(s.doc, s.opts.Cell)
 	return func(id string, i int, _, next placement.Share) bool {
--- a/internal/share/peer.go
+++ b/internal/share/peer.go
@@ -31,8 +31,8 @@
 	// reports hold the latest time at which the peer can have heard others,
 	// as of a heartbeat that it sent after contactAt.
 	reports []report
-	// ackedSession is our session in which the peer uses none of our shares.
-	// A peer with a newer view acknowledges nothing, since it may own them.
+	// ackedSession is our session in which the peer uses none of our shares as
+	// their deputy under its revision.
 	ackedSession uint32
 
 	endedIncarnation uint64
@@ -64,11 +64,6 @@
 	return p
 }
 
-// ended reports proof that the peer's last known process has ended.
-func (p *peer) ended() bool {
-	return p.endedIncarnation > 0 && p.endedIncarnation >= p.incarnation
-}
-
 // reportOn returns when the peer can have heard a host last.
 func (p *peer) reportOn(host string) (time.Duration, bool) {
 	for _, r := range p.reports {
@@ -132,10 +127,7 @@
 		return
 	}
 	p.marksEchoed = b.Echo.MarkVersion
-	p.ackedSession = 0
-	if s.view != nil && b.Revision <= s.view.revision {
-		p.ackedSession = b.Echo.Session
-	}
+	p.ackedSession = b.Echo.Session
 	sent := s.sent[b.Echo.Seq%sentRing]
 	if b.Echo.Seq == 0 || sent.seq != b.Echo.Seq {
 		return
@@ -221,7 +213,7 @@
 	if s.attached {
 		b.Flags |= FlagAttached
 	}
-	if s.stopping {
+	if s.stopping && now >= s.predecessorEnd() {
 		b.Flags |= FlagStopping
 		b.Draining = s.drainingLeaves()
 	}
--- a/internal/share/take.go
+++ b/internal/share/take.go
@@ -109,8 +109,19 @@
 		return true
 	}
 	p := s.peer(sh.Deputy)
-	acknowledged := p.ackedSession == s.session && s.inContact(p, now)
-	return acknowledged || s.gone(p, now, l.maxCall)
+	return s.acknowledges(p, now) || s.gone(p, now, l.maxCall)
+}
+
+// acknowledges reports that a peer has confirmed within the lease that it uses
+// none of our shares. A peer under another view may have become their owner, so
+// that it counts only if it has released what it lost before our view, or has
+// not yet left the view that was settled last.
+func (s *State) acknowledges(p *peer, now time.Duration) bool {
+	if p.ackedSession != s.session || !s.inContact(p, now) {
+		return false
+	}
+	sameView := p.revision == s.view.revision && p.released == p.revision
+	return sameView || p.revision <= s.settled
 }
 
 // take starts the use of a share as deputy if its owner does not use it.
@@ -130,9 +141,10 @@
 	return true
 }
 
-// handedOver reports that a stopping owner has no call of the leaf running.
+// handedOver reports that a stopping owner, which was running in this session,
+// has no call of the leaf running.
 func (s *State) handedOver(owner *peer, l *leaf) bool {
-	if owner.flags&FlagStopping == 0 {
+	if owner.flags&FlagStopping == 0 || !s.contactedInSession(owner) {
 		return false
 	}
 	for _, hash := range owner.draining {
