--- /dev/null
+++ b/internal/admission/item.go
@@ -0,0 +1,76 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/redwingshelf/redwingshelf/internal/kind"
+)
+
+// Item is one leaf call that asks for a slot.
+type Item struct {
+	// ID identifies the call at this scheduler. It must be unique among the
+	// calls that are queued or running.
+	ID uint64
+	// Query is the same for all leaf calls of one query, so that overloaded
+	// leaves refuse the same queries. Zero stands for ID.
+	Query uint64
+	// Customer is the unit of fairness.
+	Customer string
+	// Class is the priority; 0 is the most important.
+	Class int
+	// Deadline is the instant after which the answer is useless.
+	Deadline time.Duration
+	// Estimate is the expected service time. Zero stands for the scheduler's
+	// own moving average.
+	Estimate time.Duration
+}
+
+// Verdict is the outcome of a submission.
+type Verdict uint8
+
+// The outcomes of a submission.
+const (
+	// Start grants a slot; the caller must end it with Done or Release.
+	Start Verdict = iota
+	// Queued holds the call until a later Batch starts or refuses it.
+	Queued
+	// Shed refuses the call, which has not run.
+	Shed
+)
+
+// String returns the name of v.
+func (v Verdict) String() string {
+	switch v {
+	case Start:
+		return "start"
+	case Queued:
+		return "queued"
+	default:
+		return "shed"
+	}
+}
+
+// Decision is the answer to Submit.
+type Decision struct {
+	Verdict Verdict
+	// Kind is the reason for a shed call.
+	Kind kind.Kind
+	// Refused lists queued calls that gave way to this one. It is valid until
+	// the next call of the scheduler.
+	Refused []Refusal
+}
+
+// Refusal names a queued call that has left the queue without running.
+type Refusal struct {
+	ID   uint64
+	Kind kind.Kind
+}
+
+// Batch lists what a change of state sets in motion. Its slices are valid until
+// the next call of the scheduler.
+type Batch struct {
+	// Start lists the calls that now hold a slot.
+	Start []Item
+	// Refused lists the calls that left the queue without running.
+	Refused []Refusal
+}
--- /dev/null
+++ b/internal/admission/overload_test.go
@@ -0,0 +1,58 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const refusalBound = 50 * time.Millisecond
+
+// offered is the load of one leaf of two slots at a multiple of its capacity.
+func offered(seed uint64, factor float64, service, deadline time.Duration) load {
+	capacity := 2 / service.Seconds()
+	return load{
+		seed: seed, rate: factor * capacity, length: 3000 * service,
+		service: service, deadline: deadline,
+	}
+}
+
+// TestGoodputAtTwiceTheLoad compares goodput at twice the load with the peak
+// over all loads, and with a queue without bounds.
+func TestGoodputAtTwiceTheLoad(t *testing.T) {
+	cases := []struct {
+		service, deadline time.Duration
+	}{
+		{2 * time.Millisecond, 100 * time.Millisecond},
+		{10 * time.Millisecond, 100 * time.Millisecond},
+		{10 * time.Millisecond, 250 * time.Millisecond},
+		{50 * time.Millisecond, 500 * time.Millisecond},
+	}
+	for _, tc := range cases {
+		t.Run(fmt.Sprintf("service=%v/deadline=%v", tc.service, tc.deadline), func(t *testing.T) {
+			for seed := uint64(1); seed <= 3; seed++ {
+				var peak, twice, base float64
+				for _, factor := range []float64{0.5, 0.8, 0.9, 1, 1.1, 1.25, 1.5, 2, 4} {
+					l := offered(seed, factor, tc.service, tc.deadline)
+					calls := l.calls()
+					r := simulate(New(Config{Slots: 2}), calls)
+					goodput := float64(r.good) / l.length.Seconds()
+					require.LessOrEqual(t, r.maxRunning, 2)
+					require.LessOrEqual(t, r.latestRefusal, refusalBound)
+					peak = max(peak, goodput)
+					if factor == 2 {
+						twice = goodput
+						b := simulate(&fifo{slots: 2}, calls)
+						base = float64(b.good) / l.length.Seconds()
+					}
+					t.Logf("seed=%d load=%.2f goodput=%.1f/s refused=%d of %d latest refusal=%v", seed, factor, goodput, r.refused, r.offered, r.latestRefusal)
+				}
+				t.Logf("seed=%d peak=%.1f/s at twice=%.1f/s (%.3f) fifo=%.1f/s", seed, peak, twice, twice/peak, base)
+				require.GreaterOrEqual(t, twice, 0.9*peak)
+				require.Less(t, base, 0.5*peak)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,73 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// entry is a queued call with its place in the service order.
+type entry struct {
+	item    Item
+	seq     uint64
+	start   float64
+	cost    float64
+	arrived time.Duration
+	// latest is the last instant at which the call may still start.
+	latest time.Duration
+}
+
+// before reports whether e is served before o: by class, then by start tag,
+// then by arrival.
+func (e *entry) before(o *entry) bool {
+	if e.item.Class != o.item.Class {
+		return e.item.Class < o.item.Class
+	}
+	if e.start != o.start {
+		return e.start < o.start
+	}
+	return e.seq < o.seq
+}
+
+// queue holds entries in service order.
+type queue struct {
+	entries []*entry
+	free    []*entry
+}
+
+// alloc returns an unused entry.
+func (q *queue) alloc() *entry {
+	if n := len(q.free); n > 0 {
+		e := q.free[n-1]
+		q.free = q.free[:n-1]
+		return e
+	}
+	return &entry{}
+}
+
+// insert puts e in its place and returns the index.
+func (q *queue) insert(e *entry) int {
+	at := len(q.entries)
+	for at > 0 && e.before(q.entries[at-1]) {
+		at--
+	}
+	q.entries = slices.Insert(q.entries, at, e)
+	return at
+}
+
+// remove takes out the entry at index at. The entry is reused by alloc.
+func (q *queue) remove(at int) *entry {
+	e := q.entries[at]
+	q.entries = slices.Delete(q.entries, at, at+1)
+	q.free = append(q.free, e)
+	return e
+}
+
+// index returns the index of the call with the given ID, or -1.
+func (q *queue) index(id uint64) int {
+	for i, e := range q.entries {
+		if e.item.ID == id {
+			return i
+		}
+	}
+	return -1
+}
