Refuse the same queries at every overloaded leaf

Cause: leaves that shed independently each drop a different part of every scattered query.

The calls of a customer and class are now served by a hash of the query's id, and a gate can refuse a share of the queries on arrival.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -7,15 +7,17 @@
 
 // entry is a queued call with its place in the service order.
 type entry struct {
-	item    Item
-	seq     uint64
-	start   float64
-	cost    float64
-	arrived time.Duration
+	item  Item
+	seq   uint64
+	start float64
+	cost  float64
+	rank  float64
 	// latest is the last instant at which the call may still start.
 	latest time.Duration
 }
 
+func (e *entry) flow() flowKey { return flowKey{e.item.Class, e.item.Customer} }
+
 // before reports whether e is served before o: by class, then by start tag,
 // then by arrival.
 func (e *entry) before(o *entry) bool {
@@ -51,6 +53,26 @@
 		at--
 	}
 	q.entries = slices.Insert(q.entries, at, e)
+	return q.promote(at)
+}
+
+// promote moves the call at index at ahead of the calls of the same flow with a
+// higher rank and returns its new index. The start tags keep their places, so
+// that the shares of the flows stay the same.
+func (q *queue) promote(at int) int {
+	e := q.entries[at]
+	for i := at - 1; i >= 0; i-- {
+		o := q.entries[i]
+		if o.flow() != e.flow() {
+			continue
+		}
+		if o.rank <= e.rank {
+			break
+		}
+		o.start, e.start = e.start, o.start
+		q.entries[i], q.entries[at] = e, o
+		at = i
+	}
 	return at
 }
 
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -3,8 +3,10 @@
 // A Scheduler keeps the number of running calls within the holder's slots,
 // serves classes by priority and customers of a class by start-time fair
 // queueing, and refuses a call as soon as it is not expected to start within
-// the bound on waiting or in time for its deadline. A call that the scheduler
-// refuses has never left the queue, so "not run" is true of it.
+// the bound on waiting or in time for its deadline. The calls of one customer
+// and class are served by a rank that depends on the query alone, so that
+// overloaded leaves answer the same queries. A call that the scheduler refuses
+// has never left the queue, so "not run" is true of it.
 //
 // The package is pure: time is passed in as a monotonic offset, and the caller
 // serializes the calls of one Scheduler.
@@ -34,6 +36,10 @@
 	MaxQueue int
 	// MaxWait is the longest time that a call may be queued.
 	MaxWait time.Duration
+	// Utilization is the offered load, as a share of the slots, above which
+	// calls are refused on arrival, the same queries at every leaf. Zero turns
+	// this off.
+	Utilization float64
 	// Classes is the number of priorities; a class beyond it counts as the last.
 	Classes int
 }
@@ -65,6 +71,7 @@
 	seq     uint64
 	queue   queue
 	fair    fairness
+	gate    gate
 	running map[uint64]running
 	started []Item
 	refused []Refusal
@@ -77,6 +84,7 @@
 		cfg:     cfg,
 		slots:   max(cfg.Slots, 0),
 		fair:    newFairness(cfg.Classes),
+		gate:    newGate(cfg.Utilization),
 		running: make(map[uint64]running),
 	}
 }
@@ -91,6 +99,9 @@
 	if it.Deadline <= now {
 		return Decision{Verdict: Shed, Kind: kind.DeadlinePassed}
 	}
+	if !s.gate.admit(now, it, s.slots) {
+		return Decision{Verdict: Shed, Kind: kind.Overloaded}
+	}
 	if len(s.queue.entries) == 0 && len(s.running) < s.slots && s.inTime(now, it) {
 		s.startNow(now, it)
 		return Decision{Verdict: Start}
@@ -101,8 +112,8 @@
 	return s.enqueue(now, it)
 }
 
-// Done ends a running call whose answer arrived and starts the next ones. Its
-// duration counts towards the average service time.
+// Done ends a running call that was answered or ran into its timeout and starts
+// the next ones. Its duration counts towards the average service time.
 func (s *Scheduler) Done(now time.Duration, id uint64) Batch {
 	if r, ok := s.running[id]; ok {
 		s.observe(now - r.started)
@@ -199,6 +210,7 @@
 }
 
 func (s *Scheduler) observe(d time.Duration) {
+	s.gate.observe(d)
 	if s.service == 0 {
 		s.service = d
 		return
@@ -239,12 +251,12 @@
 	cost := s.cost(it)
 	e := s.queue.alloc()
 	*e = entry{
-		item:    it,
-		seq:     s.seq,
-		start:   s.fair.tag(it.Class, it.Customer, cost),
-		cost:    cost,
-		arrived: now,
-		latest:  min(now+s.cfg.MaxWait, it.Deadline-s.estimate(it)),
+		item:   it,
+		seq:    s.seq,
+		start:  s.fair.tag(it.Class, it.Customer, cost),
+		cost:   cost,
+		rank:   rank(it),
+		latest: min(now+s.cfg.MaxWait, it.Deadline-s.estimate(it)),
 	}
 	return e
 }
