Test readers that are cut off from the service

Reads that fail and reads that never end were not covered. Telling the next ranks directly was ruled out: the test stayed green without it, since the flag in announcements already moves the rank.

--- a/internal/confsync/fleet_test.go
+++ b/internal/confsync/fleet_test.go
@@ -79,8 +79,17 @@
 	// peer that restarts or is cut off before the node is ready drops out.
 	heldAtStart map[*node]uint64
 	bytes       int
+	fault       fault
 }
 
+// fault is how reads of a node fail.
+type fault int
+
+const (
+	refused fault = iota + 1
+	silent
+)
+
 type watch struct {
 	node *node
 	read Read
@@ -236,7 +245,10 @@
 
 func (f *fleet) read(w watch) {
 	f.reads = append(f.reads, f.now)
-	if f.down {
+	if w.node.fault == silent {
+		return
+	}
+	if f.down || w.node.fault == refused {
 		f.after(time.Millisecond, func() { f.answer(w, nil, errors.New("service is down")) })
 		return
 	}
--- a/internal/confsync/options.go
+++ b/internal/confsync/options.go
@@ -16,6 +16,10 @@
 	maxRefused = 32
 )
 
+// failuresToYield is the number of failed reads after which the next node by
+// rank reads the service too.
+const failuresToYield = 2
+
 // Periods and rates.
 const (
 	// TickInterval is the interval at which the controller calls Tick.
--- a/internal/confsync/push.go
+++ b/internal/confsync/push.go
@@ -102,7 +102,7 @@
 		Identity:    s.Identity(),
 		Answer:      answer,
 		Ready:       s.ready,
-		ReadFailing: s.reader.failures >= 2,
+		ReadFailing: s.reader.failures >= failuresToYield,
 		Confirmed:   s.reader.confirmed,
 	}
 	if msg.Confirmed {
--- a/internal/confsync/reader.go
+++ b/internal/confsync/reader.go
@@ -182,16 +182,6 @@
 	}
 	delay := backoff/2 + s.jitter(backoff/2)
 	r.next = now + max(delay, s.readDelay())
-	if r.failures == 2 && r.rank < readersPerDataCentre {
-		s.announceFailing(now)
-	}
-}
-
-// announceFailing tells the next nodes by rank that they have to read.
-func (s *Syncer) announceFailing(now time.Duration) {
-	for _, p := range s.peers.watchers(now, 2*readersPerDataCentre) {
-		s.send(p.Address, s.announce(now, Identity{}, false))
-	}
 }
 
 // readDelay returns the time until the next read by rank.
--- a/internal/confsync/syncer_test.go
+++ b/internal/confsync/syncer_test.go
@@ -166,6 +166,28 @@
 	require.LessOrEqual(t, f.timeToAll(2, time.Minute), 3*time.Second)
 }
 
+func TestOthersReadWhenReadersAreCutOffFromTheService(t *testing.T) {
+	for _, tc := range []struct {
+		fault fault
+		ranks int
+		nodes int
+	}{
+		{refused, readersPerDataCentre, 9},
+		{silent, 1, 24},
+	} {
+		f := started(t, tc.nodes, 12, 1)
+		f.run(5 * time.Second)
+		for _, n := range f.nodes {
+			if n.syncer.reader.rank < tc.ranks {
+				n.fault = tc.fault
+			}
+		}
+		f.run(25 * time.Second)
+		f.publish(document(2, "a", testSize))
+		require.LessOrEqual(t, f.timeToAll(2, time.Minute), 5*time.Second)
+	}
+}
+
 func (f *fleet) running() []*node {
 	var running []*node
 	for _, n := range f.nodes {
