--- /dev/null
+++ b/internal/confsync/bench_test.go
@@ -0,0 +1,105 @@
+package confsync
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const benchDocument = 470 << 10
+
+// BenchmarkSpread publishes a document of 470 KB every 72 s, which is 1,200
+// times a day, and reports what one node sends to peers and how long a change
+// takes to reach all nodes. Reads are those of the whole fleet.
+func BenchmarkSpread(b *testing.B) {
+	for _, size := range []int{6, 12, 24, 48, 96} {
+		for _, mode := range []string{"idle", "delta", "full"} {
+			b.Run(fmt.Sprintf("nodes=%d/%s", size, mode), func(b *testing.B) {
+				for range b.N {
+					spread(b, size, mode)
+				}
+			})
+		}
+	}
+}
+
+func spread(b *testing.B, size int, mode string) {
+	const changes, interval = 10, 72 * time.Second
+	f := newFleet(size, 1)
+	f.publish(document(1, "a", benchDocument))
+	f.startAll()
+	f.timeToAll(1, time.Minute)
+	sent := func() (total int) {
+		for _, n := range f.nodes {
+			if mode == "full" {
+				n.syncer.history.differ = noDiffer{}
+			}
+			total += n.bytes
+		}
+		return total
+	}
+	before, readsBefore, from, cpu := sent(), len(f.reads), f.now, time.Now()
+	var slowest time.Duration
+	for revision := uint64(2); revision < 2+changes; revision++ {
+		end := f.now + interval
+		if mode != "idle" {
+			f.publish(document(revision, "a", benchDocument))
+			slowest = max(slowest, f.timeToAll(revision, interval))
+		}
+		f.run(end - f.now)
+	}
+	seconds := (f.now - from).Seconds()
+	perNode := float64(size) * seconds
+	b.ReportMetric(float64(sent()-before)/perNode, "B/node/s")
+	b.ReportMetric(float64(time.Since(cpu).Nanoseconds())/perNode, "ns/node/s")
+	b.ReportMetric(float64(len(f.reads)-readsBefore)/seconds, "reads/s")
+	b.ReportMetric(float64(slowest.Milliseconds()), "ms-to-all")
+}
+
+func benchSyncer(size int) (*Syncer, []Peer) {
+	var peers []Peer
+	for i := range size {
+		name := fmt.Sprintf("h%d", i)
+		peers = append(peers, Peer{Name: name, Address: name, DataCentre: fmt.Sprintf("dc%d", i%5), Ready: true})
+	}
+	opts := Options{Blob: "config", Self: peers[0], Check: check, Differ: headDiffer{}, FleetSize: size}
+	s := New(opts, 0, rand.New(rand.NewPCG(1, 1)))
+	s.MembersChanged(0, peers[1:])
+	s.offer(0, document(1, "a", benchDocument), Identity{}, ServiceSource)
+	s.ready = true
+	return s, peers[1:]
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, size := range []int{6, 96, 600} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			s, _ := benchSyncer(size)
+			b.ReportAllocs()
+			for i := range b.N {
+				s.Tick(time.Duration(i) * TickInterval)
+			}
+		})
+	}
+}
+
+func BenchmarkMembersChanged(b *testing.B) {
+	for _, size := range []int{6, 96, 600} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			s, peers := benchSyncer(size)
+			b.ReportAllocs()
+			for range b.N {
+				s.MembersChanged(time.Minute, peers)
+			}
+		})
+	}
+}
+
+func BenchmarkReceiveAnnounce(b *testing.B) {
+	s, peers := benchSyncer(600)
+	msg := s.announce(0, Identity{}, false)
+	b.ReportAllocs()
+	for range b.N {
+		s.Receive(time.Minute, peers[7].Address, msg)
+	}
+}
--- a/internal/confsync/fleet_test.go
+++ b/internal/confsync/fleet_test.go
@@ -97,25 +97,28 @@
 
 // fleet runs Syncers over virtual time with a service and a lossy network.
 type fleet struct {
-	rng     *rand.Rand
-	now     time.Duration
-	seq     int
-	events  eventHeap
-	nodes   []*node
-	loss    float64
-	side    map[string]int // nodes of different sides don't hear each other
-	held    []byte
-	down    bool
-	watches []watch
-	reads   []time.Duration
-	faults  []string
+	rng       *rand.Rand
+	now       time.Duration
+	seq       int
+	events    eventHeap
+	nodes     []*node
+	byAddress map[string]*node
+	loss      float64
+	side      map[string]int // nodes of different sides don't hear each other
+	held      []byte
+	down      bool
+	watches   []watch
+	reads     []time.Duration
+	faults    []string
 }
 
-func newFleet(n int, seed uint64) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, seed)), side: make(map[string]int)}
-	for i := range n {
+func newFleet(size int, seed uint64) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, seed)), side: make(map[string]int), byAddress: make(map[string]*node)}
+	for i := range size {
 		name := fmt.Sprintf("h%d", i)
-		f.nodes = append(f.nodes, &node{self: Peer{Name: name, Address: name, DataCentre: fmt.Sprintf("dc%d", i%3)}})
+		n := &node{self: Peer{Name: name, Address: name, DataCentre: fmt.Sprintf("dc%d", i%3)}}
+		f.nodes = append(f.nodes, n)
+		f.byAddress[name] = n
 	}
 	f.after(time.Second, f.refreshMembers)
 	return f
@@ -235,10 +238,9 @@
 	}
 	delay := time.Millisecond + time.Duration(f.rng.Int64N(int64(time.Millisecond)))
 	f.after(delay, func() {
-		for _, p := range f.nodes {
-			if p.self.Address == a.To && p.syncer != nil && f.connected(n, p) {
-				f.act(p, p.syncer.Receive(f.now, n.self.Address, a.Msg))
-			}
+		p := f.byAddress[a.To]
+		if p.syncer != nil && f.connected(n, p) {
+			f.act(p, p.syncer.Receive(f.now, n.self.Address, a.Msg))
 		}
 	})
 }
