--- a/internal/standin/index.go
+++ b/internal/standin/index.go
@@ -1,19 +1,25 @@
 // Package standin holds small stand-ins for the systems around the tier: leaves
 // that serve an index, and the platform's configuration service and host list.
-// Tests and the demo use them.
+// Tests, the demo and load experiments use them.
 package standin
 
 import (
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
+	"sync"
 )
 
 // KeySpace is the size of the key space that the shards of an index divide.
 const KeySpace = 1 << 16
 
+// maxCachedAnswers bounds the encoded answers that one snapshot keeps.
+const maxCachedAnswers = 4096
+
 // Entry is one indexed record.
 type Entry struct {
 	ID   string
@@ -21,28 +27,64 @@
 	Text string
 }
 
-// Snapshot is one version of an index with its partitioning into shards.
+// Snapshot is one version of an index with its partitioning into shards. Its
+// entries are ordered by key.
 type Snapshot struct {
 	Name    string
 	Entries []Entry
 	// Bounds holds the start of each shard's key range, ascending from zero.
 	Bounds []uint32
+
+	// mu guards answers.
+	mu      sync.RWMutex
+	answers map[searchKey][]byte
+}
+
+// searchKey identifies a search of one key range.
+type searchKey struct {
+	from, to uint32
+	query    string
 }
 
 // NewSnapshot returns an index of n entries in equal shards.
 func NewSnapshot(name string, n, shards int) *Snapshot {
-	s := &Snapshot{Name: name}
+	bounds := make([]uint32, shards)
+	for i := range bounds {
+		bounds[i] = uint32(i * KeySpace / shards)
+	}
+	return NewPartitionedSnapshot(name, n, bounds)
+}
+
+// NewPartitionedSnapshot returns an index of n entries with the given starts of
+// its shards.
+func NewPartitionedSnapshot(name string, n int, bounds []uint32) *Snapshot {
+	s := &Snapshot{Name: name, Bounds: bounds, answers: map[searchKey][]byte{}}
 	for i := range n {
 		id := fmt.Sprintf("entry-%05d", i)
-		s.Entries = append(s.Entries, Entry{ID: id, Key: key(id), Text: name + " text of " + id})
+		s.Entries = append(s.Entries, Entry{ID: id, Key: key(id), Text: EntryText(name, id)})
 	}
 	sort.Slice(s.Entries, func(i, j int) bool { return s.Entries[i].Key < s.Entries[j].Key })
-	for i := range shards {
-		s.Bounds = append(s.Bounds, uint32(i*KeySpace/shards))
-	}
 	return s
 }
 
+// UnequalBounds returns the starts of shards of different sizes.
+func UnequalBounds(shards int, seed uint64) []uint32 {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	starts := map[uint32]bool{0: true}
+	for len(starts) < shards {
+		starts[rng.Uint32N(KeySpace)] = true
+	}
+	bounds := make([]uint32, 0, shards)
+	for start := range starts {
+		bounds = append(bounds, start)
+	}
+	slices.Sort(bounds)
+	return bounds
+}
+
+// EntryText returns the text of an entry in a snapshot.
+func EntryText(snapshot, id string) string { return snapshot + " text of " + id }
+
 func key(id string) uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id))
@@ -79,15 +121,37 @@
 // Search returns the matches of a query in one key range.
 func (s *Snapshot) Search(from, to uint32, q Query) Hits {
 	found := Hits{Hits: []Hit{}}
-	for _, e := range s.Entries {
-		if e.Key < from || e.Key >= to || !strings.Contains(e.Text, q.Text) {
+	first := sort.Search(len(s.Entries), func(i int) bool { return s.Entries[i].Key >= from })
+	for _, e := range s.Entries[first:] {
+		if e.Key >= to || q.Limit > 0 && len(found.Hits) >= q.Limit {
+			break
+		}
+		if !strings.Contains(e.Text, q.Text) {
 			continue
 		}
 		body, _ := json.Marshal(e.Text)
 		found.Hits = append(found.Hits, Hit{ID: e.ID, Score: 1 / float64(1+e.Key), Body: body})
-		if q.Limit > 0 && len(found.Hits) >= q.Limit {
-			break
-		}
 	}
 	return found
 }
+
+// Answer returns the encoded result of a search with the given request body.
+// Answers are kept, so that a repeated search costs little.
+func (s *Snapshot) Answer(from, to uint32, body []byte) []byte {
+	k := searchKey{from: from, to: to, query: string(body)}
+	s.mu.RLock()
+	answer, found := s.answers[k]
+	s.mu.RUnlock()
+	if found {
+		return answer
+	}
+	var q Query
+	_ = json.Unmarshal(body, &q)
+	answer, _ = json.Marshal(s.Search(from, to, q))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.answers != nil && len(s.answers) < maxCachedAnswers {
+		s.answers[k] = answer
+	}
+	return answer
+}
--- /dev/null
+++ b/internal/standin/leaf_http.go
@@ -0,0 +1,108 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/redwingshelf/redwingshelf/internal/target"
+)
+
+func (l *Leaf) handleReport(w http.ResponseWriter, _ *http.Request) {
+	l.writeReport(w.Header())
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (l *Leaf) writeReport(h http.Header) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state := target.StateWarm
+	switch {
+	case l.faults.Leaving:
+		state = target.StateLeaving
+	case l.cold && !l.faults.ReportWarm:
+		state = target.StateCold
+	}
+	h.Set(target.HeaderState, string(state))
+	h.Set(target.HeaderIncarnation, strconv.Itoa(l.incarnation))
+	h.Set(target.HeaderHeld, l.heldText)
+}
+
+// formatHeld needs mu.
+func (l *Leaf) formatHeld() string {
+	held := make([]target.Held, len(l.held))
+	for i, s := range l.held {
+		from, to := l.keyRange(s)
+		held[i] = target.Held{Snapshot: s.Name, From: from, To: to}
+	}
+	return target.FormatHeld(held)
+}
+
+func (l *Leaf) keyRange(s *Snapshot) (from, to uint32) {
+	if l.options.Shard >= len(s.Bounds) {
+		return 0, 0
+	}
+	return s.Range(l.options.Shard)
+}
+
+func (l *Leaf) handleCancel(w http.ResponseWriter, r *http.Request) {
+	l.mu.Lock()
+	cancel := l.cancels[r.Header.Get(target.HeaderRequestID)]
+	l.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (l *Leaf) handleRun(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, target.MaxAnswer))
+	if err != nil {
+		return
+	}
+	work, refusal := l.admit(r, body)
+	if work.crash {
+		l.Crash()
+		l.finish(work.record, false)
+		return
+	}
+	if refusal != "" {
+		l.refuse(w, r, refusal)
+		return
+	}
+	end := l.work(r, work.duration)
+	l.finish(work.record, end == "")
+	if end != "" {
+		l.refuse(w, r, end)
+		return
+	}
+	l.answer(w, r, work, body)
+}
+
+func (l *Leaf) refuse(w http.ResponseWriter, r *http.Request, word string) {
+	l.writeReport(w.Header())
+	w.Header().Set(target.HeaderRequestID, r.Header.Get(target.HeaderRequestID))
+	w.Header().Set(target.HeaderRefusal, word)
+	if word != refusalDeadline && word != refusalCanceled {
+		w.Header().Set(target.HeaderRun, "no")
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (l *Leaf) answer(w http.ResponseWriter, r *http.Request, work admitted, body []byte) {
+	from, to := l.keyRange(work.snapshot)
+	answer := work.snapshot.Answer(from, to, body)
+	l.writeReport(w.Header())
+	id := r.Header.Get(target.HeaderRequestID)
+	if work.faults.CrossAnswers {
+		id = "other-" + id
+	}
+	w.Header().Set(target.HeaderRequestID, id)
+	w.Header().Set(target.HeaderSnapshot, work.snapshot.Name)
+	w.Header().Set(target.HeaderKeyRange, target.FormatRange(from, to))
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if work.faults.Truncate {
+		answer = answer[:len(answer)/2]
+	}
+	_, _ = w.Write(answer)
+}
