Run a site and load experiments in one process

Measurements need many nodes, stand-in leaves with data and changes at given times under one command. A site embeds the platform's stand-in, the leaves of a document and nodes; an experiment runs a load on it with events and checks every answer against the data. The report compares runs and plots them.

--- /dev/null
+++ b/internal/demo/site.go
@@ -0,0 +1,317 @@
+// Package demo runs a small site in one process: a platform, the leaves of a
+// document with stand-in data, and nodes. The demo and load experiments use it.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/redwingshelf/redwingshelf/internal/document"
+	"github.com/redwingshelf/redwingshelf/internal/hostlist"
+	"github.com/redwingshelf/redwingshelf/internal/node"
+	"github.com/redwingshelf/redwingshelf/internal/settings"
+	"github.com/redwingshelf/redwingshelf/internal/standin"
+)
+
+const (
+	// DefaultEntries is the number of entries in the index of each service.
+	DefaultEntries = 1000
+	readyTimeout   = 30 * time.Second
+	pollInterval   = 20 * time.Millisecond
+)
+
+// Options describe a site.
+type Options struct {
+	Document *document.Document
+	// Nodes is the number of nodes, spread over the data centres in turn.
+	Nodes int
+	// Leaf is the template of every leaf. Name, shard, bounds and seed are set
+	// for each.
+	Leaf standin.LeafOptions
+	// Entries is the number of entries in the index of each service.
+	Entries int
+	Logger  *zap.Logger
+	Seed    uint64
+}
+
+// Site is a running site.
+type Site struct {
+	options  Options
+	platform *standin.Platform
+	leaves   []*leaf
+	nodes    []*Host
+	cancel   context.CancelFunc
+	group    *errgroup.Group
+
+	// mu guards doc and the snapshots of services.
+	mu       sync.Mutex
+	doc      *document.Document
+	services map[string]*standin.Snapshot
+	sequence int
+}
+
+// Host is one node of a site.
+type Host struct {
+	settings *settings.Settings
+	node     *node.Node
+}
+
+// Name returns the name of the host.
+func (h *Host) Name() string { return h.settings.Name }
+
+// Address returns the callers' address of the host.
+func (h *Host) Address() string { return h.settings.HTTPListen }
+
+// OpsAddress returns the operators' address of the host.
+func (h *Host) OpsAddress() string { return h.settings.OpsListen }
+
+// leaf is a stand-in leaf with its place in the document.
+type leaf struct {
+	*standin.Leaf
+	service    string
+	instance   string
+	dataCentre string
+	limits     document.LeafLimits
+}
+
+// Start starts a site and waits until its nodes serve every service.
+func Start(ctx context.Context, o Options) (*Site, error) {
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Entries == 0 {
+		o.Entries = DefaultEntries
+	}
+	s := &Site{options: o, doc: o.Document, services: map[string]*standin.Snapshot{}, sequence: 1}
+	if err := s.start(ctx); err != nil {
+		return nil, errors.Join(err, s.Close())
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context) error {
+	platform, err := standin.NewPlatform()
+	if err != nil {
+		return err
+	}
+	s.platform = platform
+	hosts := hostlist.List{Revision: 1, Targets: map[string]string{}}
+	if err := s.startLeaves(&hosts); err != nil {
+		return err
+	}
+	if err := s.publish(); err != nil {
+		return err
+	}
+	if err := s.makeNodes(&hosts); err != nil {
+		return err
+	}
+	platform.SetHosts(hosts)
+	s.runNodes()
+	return s.waitReady(ctx)
+}
+
+func (s *Site) startLeaves(hosts *hostlist.List) error {
+	index := document.NewIndex(s.doc)
+	for id := range document.LeafID(index.NumLeaves()) {
+		entry := index.Leaf(id)
+		o := s.options.Leaf
+		o.Name = entry.Name
+		o.Shard = entry.Shard
+		o.Slots = entry.Service.Limits.Slots
+		o.Connections = entry.Service.Limits.Connections
+		o.ColdSlots = entry.Service.Limits.ColdSlots
+		o.WarmAfter = entry.Service.Limits.WarmAfter
+		o.Seed = s.options.Seed + uint64(id)
+		started, err := standin.NewLeaf(o, s.snapshotOf(entry.Service))
+		if err != nil {
+			return err
+		}
+		s.leaves = append(s.leaves, &leaf{
+			Leaf:       started,
+			service:    serviceKey(entry.Service),
+			instance:   entry.Instance.Name,
+			dataCentre: entry.DataCentre(),
+			limits:     entry.Service.Limits,
+		})
+		hosts.Targets[entry.Name] = started.URL()
+	}
+	return nil
+}
+
+func serviceKey(s *document.ServiceEntry) string { return s.Customer + "/" + s.Name }
+
+// snapshotOf returns the first snapshot of a service.
+func (s *Site) snapshotOf(service *document.ServiceEntry) *standin.Snapshot {
+	key := serviceKey(service)
+	if s.services[key] == nil {
+		name := fmt.Sprintf("%d-%s", s.sequence, service.Name)
+		s.services[key] = standin.NewSnapshot(name, s.options.Entries, len(service.Shards))
+	}
+	return s.services[key]
+}
+
+// publish puts the site's document on the configuration service.
+func (s *Site) publish() error {
+	data, err := document.Encode(s.doc)
+	if err != nil {
+		return err
+	}
+	s.platform.SetDocument(s.doc.Revision, data)
+	return nil
+}
+
+// makeNodes opens the listeners of every node and adds the nodes to the list.
+func (s *Site) makeNodes(hosts *hostlist.List) error {
+	const addressesPerNode = 3
+	addresses, err := freeAddresses(s.options.Nodes * addressesPerNode)
+	if err != nil {
+		return err
+	}
+	var all []*settings.Settings
+	for i := range s.options.Nodes {
+		centre := s.doc.DataCentres[i%len(s.doc.DataCentres)]
+		set := s.newSettings(i, centre.Name, addresses[i*addressesPerNode:])
+		all = append(all, set)
+		hosts.Hosts = append(hosts.Hosts, hostlist.Host{
+			Name:        set.Name,
+			Address:     set.PeerListen,
+			HTTPAddress: set.HTTPListen,
+			DataCentre:  centre.Name,
+			Region:      centre.Region,
+			Cell:        set.Cell,
+			State:       hostlist.StateLive,
+		})
+	}
+	var peers []settings.Peer
+	for _, set := range all {
+		peers = append(peers, settings.Peer{Name: set.Name, Address: set.PeerListen, OpsAddress: set.OpsListen})
+	}
+	for _, set := range all {
+		set.Peers = peers
+		n, err := newNode(set, s.options.Logger)
+		if err != nil {
+			return err
+		}
+		s.nodes = append(s.nodes, &Host{settings: set, node: n})
+	}
+	return nil
+}
+
+func (s *Site) newSettings(i int, centre string, addresses []string) *settings.Settings {
+	set := settings.Defaults()
+	set.Name = fmt.Sprintf("%s-%d", centre, i/len(s.doc.DataCentres)+1)
+	set.DataCentre = centre
+	set.HTTPListen = addresses[0]
+	set.OpsListen = addresses[1]
+	set.PeerListen = addresses[2]
+	set.PeerAdvertise = set.PeerListen
+	set.ConfigurationService = s.platform.URL() + standin.PathConfig
+	set.HostList = s.platform.URL() + standin.PathHosts
+	set.Stop.BalancerLagMS = 0
+	return set
+}
+
+// freeAddresses returns loopback addresses with free ports.
+func freeAddresses(n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("find a free port: %w", err)
+		}
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+func (s *Site) runNodes() {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.group = new(errgroup.Group)
+	for _, h := range s.nodes {
+		s.group.Go(func() error { return h.node.Run(ctx) })
+	}
+}
+
+// waitReady waits until every node answers a search of every service.
+func (s *Site) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, h := range s.nodes {
+		for key := range s.services {
+			group.Go(func() error { return waitServed(ctx, h, key) })
+		}
+	}
+	return group.Wait()
+}
+
+func waitServed(ctx context.Context, h *Host, service string) error {
+	customer, name, _ := strings.Cut(service, "/")
+	url := fmt.Sprintf("http://%s/v1/customers/%s/services/%s/search", h.Address(), customer, name)
+	status := 0
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("{}"))
+		if err != nil {
+			return err
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+			status = response.StatusCode
+		}
+		if status == http.StatusOK {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("host %s does not serve %s, last status %d: %w", h.Name(), service, status, ctx.Err())
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// Hosts returns the nodes of the site.
+func (s *Site) Hosts() []*Host { return slices.Clone(s.nodes) }
+
+// Addresses returns the callers' addresses of the nodes.
+func (s *Site) Addresses() []string {
+	var addresses []string
+	for _, h := range s.nodes {
+		addresses = append(addresses, h.Address())
+	}
+	return addresses
+}
+
+// PlatformURL returns the base URL of the platform's stand-in.
+func (s *Site) PlatformURL() string { return s.platform.URL() }
+
+// Leaves returns the number of leaves.
+func (s *Site) Leaves() int { return len(s.leaves) }
+
+// Close stops the nodes and ends the stand-ins.
+func (s *Site) Close() error {
+	var err error
+	if s.cancel != nil {
+		s.cancel()
+		err = s.group.Wait()
+	}
+	for _, l := range s.leaves {
+		l.Close()
+	}
+	if s.platform != nil {
+		s.platform.Close()
+	}
+	return err
+}
--- a/internal/loadgen/run_test.go
+++ b/internal/loadgen/run_test.go
@@ -10,7 +10,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 )
--- /dev/null
+++ b/internal/report/report.go
@@ -0,0 +1,168 @@
+// Package report prints and plots what load runs measured, one run beside
+// others.
+package report
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/redwingshelf/redwingshelf/internal/loadgen"
+	"github.com/redwingshelf/redwingshelf/internal/standin"
+)
+
+const percent = 100
+
+// Run is one load run with a name that tells it from others.
+type Run struct {
+	Name   string          `json:"name"`
+	Result *loadgen.Result `json:"result"`
+	// Leaves is what the stand-in leaves counted over the whole run, the warm-up
+	// included; nil for a run against other targets.
+	Leaves *standin.Summary `json:"leaves,omitempty"`
+	// Events lists the changes made during the run.
+	Events []string `json:"events,omitempty"`
+}
+
+// Report is the result of one or more runs with equal arrivals. The first is
+// the one that the others are compared with.
+type Report struct {
+	// Command is the command line that gave the report.
+	Command string `json:"command,omitempty"`
+	Runs    []Run  `json:"runs"`
+	// Ratios compares each later run with the first.
+	Ratios []Ratio `json:"ratios,omitempty"`
+}
+
+// Ratio holds the measures of a run divided by those of the first run.
+type Ratio struct {
+	Name      string  `json:"name"`
+	P50       float64 `json:"p50"`
+	P99       float64 `json:"p99"`
+	P999      float64 `json:"p99_9"`
+	Goodput   float64 `json:"goodput"`
+	Coverage  float64 `json:"coverage"`
+	ExtraLoad float64 `json:"leaf_requests"`
+}
+
+// New returns a report of runs.
+func New(command string, runs []Run) *Report {
+	r := &Report{Command: command, Runs: runs}
+	for i := 1; i < len(runs); i++ {
+		r.Ratios = append(r.Ratios, compare(runs[i], runs[0].Result))
+	}
+	return r
+}
+
+func compare(run Run, first *loadgen.Result) Ratio {
+	other := run.Result
+	ratio := Ratio{
+		Name:     run.Name,
+		P50:      divide(other.Latency.P50, first.Latency.P50),
+		P99:      divide(other.Latency.P99, first.Latency.P99),
+		P999:     divide(other.Latency.P999, first.Latency.P999),
+		Goodput:  divide(other.Goodput, first.Goodput),
+		Coverage: divide(other.Coverage.Mean, first.Coverage.Mean),
+	}
+	if other.Targets != nil && first.Targets != nil {
+		ratio.ExtraLoad = divide(other.Targets.Ratio, first.Targets.Ratio)
+	}
+	return ratio
+}
+
+// divide returns 0 for a quotient that does not exist.
+func divide(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// Wrong returns the number of wrong answers over all runs.
+func (r *Report) Wrong() int {
+	wrong := 0
+	for _, run := range r.Runs {
+		wrong += run.Result.Wrong
+	}
+	return wrong
+}
+
+// WriteText prints the report for people.
+func (r *Report) WriteText(w io.Writer) error {
+	t := &table{w: tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)}
+	for i, run := range r.Runs {
+		if i > 0 {
+			t.row("")
+		}
+		writeRun(t, run)
+	}
+	if len(r.Ratios) > 0 {
+		r.writeRatios(t)
+	}
+	return t.flush()
+}
+
+func (r *Report) writeRatios(t *table) {
+	t.row("\nratios to %s\tp50\tp99\tp99.9\tgoodput\tcoverage\tleaf requests", r.Runs[0].Name)
+	for _, x := range r.Ratios {
+		t.row("%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.3f\t%.3f", x.Name, x.P50, x.P99, x.P999, x.Goodput, x.Coverage, x.ExtraLoad)
+	}
+	t.row("")
+}
+
+func writeRun(t *table, run Run) {
+	r := run.Result
+	t.row("run %s: %d requests in %v at %g/s (%s), seed %d, warm-up %v",
+		run.Name, r.Requests, r.Duration.Round(millisecond), r.Rate, r.Arrivals, r.Seed, r.Warmup)
+	for _, e := range run.Events {
+		t.row("event %s", e)
+	}
+	if r.Interrupted {
+		t.row("the run was interrupted")
+	}
+	t.row("\nlatency, ms\trequests\tanswers\tp50\tp90\tp99\tp99.9\tmax\tcoverage\tfull\tlowest")
+	writeStream(t, loadgen.StreamResult{Name: "all", Requests: r.Requests, Latency: r.Latency, Coverage: r.Coverage})
+	for _, s := range r.Streams {
+		writeStream(t, s)
+	}
+	writeOutcomes(t, r)
+	writeTargets(t, run)
+}
+
+func writeStream(t *table, s loadgen.StreamResult) {
+	l := s.Latency
+	t.row("%s\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%s\t%s\t%s", s.Name, s.Requests, l.Count,
+		l.P50, l.P90, l.P99, l.P999, l.Max, share(s.Coverage, s.Coverage.Mean), share(s.Coverage, s.Coverage.Full), share(s.Coverage, s.Coverage.Lowest))
+}
+
+// share formats a share of answers to searches.
+func share(c loadgen.CoverageSummary, value float64) string {
+	if c.Answers == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f%%", percent*value)
+}
+
+func writeOutcomes(t *table, r *loadgen.Result) {
+	t.row("\noutcome\trun\trequests\tshare")
+	for _, o := range r.Outcomes {
+		t.row("%s\t%s\t%d\t%.2f%%", o.Kind, o.Run, o.Count, percent*divide(float64(o.Count), float64(r.Requests)))
+	}
+	t.row("\ngoodput %.1f/s, generator late by p99 %.2f ms, max %.2f ms", r.Goodput, r.SendDelayP99, r.SendDelayMax)
+	t.row("wrong answers: %d", r.Wrong)
+	for _, example := range r.WrongExamples {
+		t.row("  %s", example)
+	}
+}
+
+func writeTargets(t *table, run Run) {
+	if load := run.Result.Targets; load != nil {
+		t.row("leaf requests %d for %d needed: %.3f", load.Requests, load.Needed, load.Ratio)
+	}
+	if s := run.Leaves; s != nil {
+		t.row("%d leaves: %d ran, %d refused, %d canceled, %d crashes, %d falls", s.Leaves, s.Ran, s.Refused, s.Canceled, s.Crashes, s.Falls)
+		t.row("leaves over a bound: slots %d, cold %d, connections %d (most connections %d)",
+			s.OverSlots, s.OverCold, s.OverConnections, s.MaxConnections)
+		t.row("submits run %d, run again %d", s.SubmitsRun, s.SubmitsRunAgain)
+	}
+}
--- a/internal/standin/index.go
+++ b/internal/standin/index.go
@@ -61,7 +61,7 @@
 	s := &Snapshot{Name: name, Bounds: bounds, answers: map[searchKey][]byte{}}
 	for i := range n {
 		id := fmt.Sprintf("entry-%05d", i)
-		s.Entries = append(s.Entries, Entry{ID: id, Key: key(id), Text: EntryText(name, id)})
+		s.Entries = append(s.Entries, Entry{ID: id, Key: Key(id), Text: EntryText(name, id)})
 	}
 	sort.Slice(s.Entries, func(i, j int) bool { return s.Entries[i].Key < s.Entries[j].Key })
 	return s
@@ -85,7 +85,8 @@
 // EntryText returns the text of an entry in a snapshot.
 func EntryText(snapshot, id string) string { return snapshot + " text of " + id }
 
-func key(id string) uint32 {
+// Key returns the key of an entry.
+func Key(id string) uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id))
 	return (h.Sum32() * 2654435761) >> 16
--- a/internal/standin/leaf_test.go
+++ b/internal/standin/leaf_test.go
@@ -149,3 +149,17 @@
 	require.Equal(t, []string{"c", "d", "e"}, ids)
 	require.Len(t, r.runs, 5)
 }
+
+func TestSummarizeCountsBoundsAndSecondRuns(t *testing.T) {
+	first := newTestLeaf(t, LeafOptions{Slots: 2, ColdSlots: 1, Connections: 4})
+	first.counts = Counts{Requests: 5, Ran: 3, Refused: 2, MaxConcurrent: 3, MaxCold: 1, MaxConnections: 4}
+	first.recorder.runs = map[string]int{"r.1.1:a-0": 1, "r.2.1:a-0": 1}
+	second := newTestLeaf(t, LeafOptions{Slots: 2, ColdSlots: 1, Connections: 4})
+	second.counts = Counts{Requests: 1, Ran: 1, MaxConcurrent: 2, MaxCold: 2, MaxConnections: 5}
+	second.recorder.runs = map[string]int{"r.1.2:b-0": 1}
+	require.Equal(t, Summary{
+		Leaves: 2, Requests: 6, Ran: 4, Refused: 2,
+		OverSlots: 1, OverCold: 1, OverConnections: 1, MaxConnections: 5,
+		SubmitsRun: 2, SubmitsRunAgain: 1,
+	}, Summarize([]*Leaf{first, second}))
+}
