Add redwingctl load and redwingctl demo

load sends requests to running hosts or to a site in its own process, with events and policies to compare; demo shows a search and a request that must run at most once on the examples of both users. Leaves acknowledge the latter with their own count.

--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -60,9 +60,11 @@
 		[]string{string(outputText), string(outputJSON)}, cobra.ShellCompDirectiveNoFileComp))
 	root.AddCommand(
 		newCheckCommand(&format),
+		newDemoCommand(&format),
 		newDiffCommand(&format),
 		newDigestCommand(&format),
 		newExplainCommand(&format),
+		newLoadCommand(&format),
 		newQueryCommand(&format),
 		newStatusCommand(&format),
 	)
--- a/internal/standin/leaf_http.go
+++ b/internal/standin/leaf_http.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -89,9 +90,32 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// Acceptance is the body of a leaf's answer to a request that is not idempotent.
+type Acceptance struct {
+	Leaf string `json:"leaf"`
+	// Number counts the requests that the leaf has run of this kind.
+	Number int `json:"number"`
+}
+
+// accept returns the answer to a request that is not idempotent, nil for one
+// that is.
+func (l *Leaf) accept(record *Record) []byte {
+	if record.Idempotent {
+		return nil
+	}
+	l.mu.Lock()
+	number := l.recorder.number
+	l.mu.Unlock()
+	answer, _ := json.Marshal(Acceptance{Leaf: l.options.Name, Number: number})
+	return answer
+}
+
 func (l *Leaf) answer(w http.ResponseWriter, r *http.Request, work admitted, body []byte) {
 	from, to := l.keyRange(work.snapshot)
-	answer := work.snapshot.Answer(from, to, body)
+	answer := l.accept(work.record)
+	if work.record.Idempotent {
+		answer = work.snapshot.Answer(from, to, body)
+	}
 	l.writeReport(w.Header())
 	id := r.Header.Get(target.HeaderRequestID)
 	if work.faults.CrossAnswers {
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -36,6 +36,8 @@
 	next    int
 	records []*Record
 	runs    map[string]int
+	// number is the sum of runs.
+	number int
 }
 
 func newRecorder(limit int) recorder {
@@ -56,6 +58,7 @@
 	record.Ran = ran
 	if ran && !record.Idempotent {
 		r.runs[record.RequestID]++
+		r.number++
 	}
 }
 
