--- a/internal/confsync/syncer.go
+++ b/internal/confsync/syncer.go
@@ -136,7 +136,7 @@
 		return false
 	}
 	current := s.Identity()
-	if id == current {
+	if id.Revision <= current.Revision {
 		s.noteConflict(now, id, source)
 		return id == current
 	}
