--- a/internal/demo/experiment.go
+++ b/internal/demo/experiment.go
@@ -41,7 +41,7 @@
 	summary := site.Summary()
 	run = report.Run{Name: e.Name, Result: result, Leaves: &summary}
 	for _, event := range e.Events {
-		run.Events = append(run.Events, event.String())
+		run.Events = append(run.Events, report.Event{At: event.At, Text: event.Action + " " + event.Argument})
 	}
 	return run, nil
 }
--- a/internal/report/plot.go
+++ b/internal/report/plot.go
@@ -22,6 +22,8 @@
 	fontSize    = 13
 	lineWidth   = 2
 	barWidth    = 26
+	// legendRoom is the height of the value axis relative to the greatest value.
+	legendRoom = 1.4
 )
 
 // runColors tell runs apart.
@@ -32,20 +34,6 @@
 	color.RGBA{R: 0x94, G: 0x67, B: 0xbd, A: 0xff},
 }
 
-// seriesPanel is one measure over time.
-type seriesPanel struct {
-	title string
-	unit  string
-	value func(loadgen.Second) float64
-}
-
-var seriesPanels = []seriesPanel{
-	{"p99 latency of answers", "ms", func(s loadgen.Second) float64 { return s.P99 }},
-	{"p50 latency of answers", "ms", func(s loadgen.Second) float64 { return s.P50 }},
-	{"goodput", "answers/s", func(s loadgen.Second) float64 { return float64(s.Answers) }},
-	{"mean coverage", "%", func(s loadgen.Second) float64 { return percent * s.Coverage }},
-}
-
 // bars is one measure of whole runs.
 type bars struct {
 	file  string
@@ -98,56 +86,6 @@
 	return r.PlotSeries(filepath.Join(dir, "series.png"))
 }
 
-// PlotSeries writes an image of the measures over time.
-func (r *Report) PlotSeries(file string) error {
-	var panels []*plot.Plot
-	for _, panel := range seriesPanels {
-		p := newPlot(panel.title, panel.unit)
-		p.X.Label.Text = "time since the warm-up (s)"
-		for i, run := range r.Runs {
-			if err := addLine(p, panel, run, runColors[i%len(runColors)]); err != nil {
-				return err
-			}
-		}
-		panels = append(panels, p)
-	}
-	return write(file, panels)
-}
-
-func newPlot(title, unit string) *plot.Plot {
-	p := plot.New()
-	p.Title.Text = title
-	p.Y.Label.Text = unit
-	p.Y.Min = 0
-	p.Legend.Top = true
-	p.Title.TextStyle.Font.Size = fontSize
-	p.Legend.TextStyle.Font.Size = fontSize
-	for _, axis := range []*plot.Axis{&p.X, &p.Y} {
-		axis.Label.TextStyle.Font.Size = fontSize
-		axis.Tick.Label.Font.Size = fontSize
-	}
-	p.Add(plotter.NewGrid())
-	return p
-}
-
-func addLine(p *plot.Plot, panel seriesPanel, run Run, c color.Color) error {
-	points := make(plotter.XYs, len(run.Result.Series))
-	for i, s := range run.Result.Series {
-		points[i].X = float64(s.Second)
-		points[i].Y = panel.value(s)
-	}
-	line, err := plotter.NewLine(points)
-	if err != nil {
-		return fmt.Errorf("plot %s: %w", panel.title, err)
-	}
-	line.Width = vg.Points(lineWidth)
-	line.Color = c
-	p.Add(line)
-	p.Legend.Add(run.Name, line)
-	p.Y.Min = 0
-	return nil
-}
-
 func (r *Report) plotBars(file string, b bars) error {
 	p := newPlot(b.title, b.unit)
 	var labels []string
@@ -170,13 +108,31 @@
 		p.Legend.Add(run.Name, chart)
 	}
 	p.NominalX(labels...)
-	p.Y.Min = 0
-	p.Y.Max *= legendRoom
+	addLegendRoom(p)
 	return write(file, []*plot.Plot{p})
 }
 
-// legendRoom is the height of the value axis relative to the greatest value.
-const legendRoom = 1.4
+func newPlot(title, unit string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text = title
+	p.Y.Label.Text = unit
+	p.Y.Min = 0
+	p.Legend.Top = true
+	p.Title.TextStyle.Font.Size = fontSize
+	p.Legend.TextStyle.Font.Size = fontSize
+	for _, axis := range []*plot.Axis{&p.X, &p.Y} {
+		axis.Label.TextStyle.Font.Size = fontSize
+		axis.Tick.Label.Font.Size = fontSize
+	}
+	p.Add(plotter.NewGrid())
+	return p
+}
+
+// addLegendRoom makes room above the greatest value for the legend.
+func addLegendRoom(p *plot.Plot) {
+	p.Y.Min = 0
+	p.Y.Max *= legendRoom
+}
 
 // write draws plots one below the other.
 func write(file string, panels []*plot.Plot) error {
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+	"time"
 
 	"github.com/redwingshelf/redwingshelf/internal/loadgen"
 	"github.com/redwingshelf/redwingshelf/internal/standin"
@@ -21,7 +22,14 @@
 	// included; nil for a run against other targets.
 	Leaves *standin.Summary `json:"leaves,omitempty"`
 	// Events lists the changes made during the run.
-	Events []string `json:"events,omitempty"`
+	Events []Event `json:"events,omitempty"`
+}
+
+// Event is one change made during a run.
+type Event struct {
+	// At is the time since the measured part began.
+	At   time.Duration `json:"at_ns"`
+	Text string        `json:"text"`
 }
 
 // Report is the result of one or more runs with equal arrivals. The first is
@@ -113,9 +121,9 @@
 func writeRun(t *table, run Run) {
 	r := run.Result
 	t.row("run %s: %d requests in %v at %g/s (%s), seed %d, warm-up %v",
-		run.Name, r.Requests, r.Duration.Round(millisecond), r.Rate, r.Arrivals, r.Seed, r.Warmup)
+		run.Name, r.Requests, r.Duration.Round(time.Millisecond), r.Rate, r.Arrivals, r.Seed, r.Warmup)
 	for _, e := range run.Events {
-		t.row("event %s", e)
+		t.row("event at %v: %s", e.At, e.Text)
 	}
 	if r.Interrupted {
 		t.row("the run was interrupted")
--- a/internal/report/table.go
+++ b/internal/report/table.go
@@ -3,11 +3,8 @@
 import (
 	"fmt"
 	"text/tabwriter"
-	"time"
 )
 
-const millisecond = time.Millisecond
-
 // table prints rows of columns and remembers the first error.
 type table struct {
 	w   *tabwriter.Writer
