--- a/internal/holder/leaf.go
+++ b/internal/holder/leaf.go
@@ -110,6 +110,7 @@
 	id := l.nextID
 	decision := l.scheduler.Submit(now, admission.Item{
 		ID:       id,
+		Query:    hashOf(c.RequestID),
 		Customer: c.Customer,
 		Class:    slices.Index(l.entry.Service.Policy.Classes, c.Class),
 		Deadline: now + time.Until(c.Deadline),
