Replace nodes in turn without cutting off a request

TestRollingReplacementCutsOffNothing was red first: a data race between calls that start and the wait of a closing holder. The holder now runs its work in a group that refuses after it is closed, and answers such calls as "stopping", not run. A leaf that leaves the document, or changes its address, is closed only once its running calls have ended. Six nodes replaced in turn under load: every answer whole, leaves within their bounds; passed with -race.

--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -26,15 +26,17 @@
 type Holder struct {
 	permits Permits
 	screen  Screen
-	dial    Dial
+	targets Targets
 	scope   tally.Scope
 	start   time.Time
 	seed    maphash.Seed
 	index   atomic.Pointer[document.Index]
 	shards  [leafMapShards]leafMap
-	wg      sync.WaitGroup
+	tasks   tasks
 }
 
+var errStopping = kind.Errorf(kind.Stopping, "this host is stopping")
+
 // leafMap is one shard of the leaves.
 type leafMap struct {
 	// mu guards leaves.
@@ -43,11 +45,11 @@
 }
 
 // New returns a holder without leaves; SetIndex gives it some. screen may be nil.
-func New(permits Permits, screen Screen, dial Dial, scope tally.Scope) *Holder {
+func New(permits Permits, screen Screen, targets Targets, scope tally.Scope) *Holder {
 	h := &Holder{
 		permits: permits,
 		screen:  screen,
-		dial:    dial,
+		targets: targets,
 		scope:   scope.SubScope("holder"),
 		start:   time.Now(),
 		seed:    maphash.MakeSeed(),
@@ -69,17 +71,31 @@
 // refused from now on.
 func (h *Holder) SetIndex(index *document.Index) {
 	h.index.Store(index)
-	h.dropLeaves(func(name string) bool { return index.LeafID(name) != document.NoLeaf })
+	h.Refresh()
+}
+
+// Refresh gives up the leaves that the document no longer has or whose address
+// has changed. Their running calls go on.
+func (h *Holder) Refresh() {
+	h.dropLeaves(func(l *leaf) bool {
+		entry := h.entry(l.name)
+		if entry == nil {
+			return false
+		}
+		address, found := h.targets.Address(entry)
+		l.setEntry(entry)
+		return found && address == l.address
+	})
 }
 
-func (h *Holder) dropLeaves(keep func(name string) bool) {
+func (h *Holder) dropLeaves(keep func(l *leaf) bool) {
 	for i := range h.shards {
 		s := &h.shards[i]
 		s.mu.Lock()
 		for name, l := range s.leaves {
-			if !keep(name) {
+			if !keep(l) {
 				delete(s.leaves, name)
-				h.wg.Go(l.close)
+				h.tasks.Go(l.close)
 			}
 		}
 		s.mu.Unlock()
@@ -88,8 +104,8 @@
 
 // Close ends every connection and waits for the background work.
 func (h *Holder) Close() {
-	h.dropLeaves(func(string) bool { return false })
-	h.wg.Wait()
+	h.dropLeaves(func(*leaf) bool { return false })
+	h.tasks.Close()
 }
 
 // leaf returns the state of a leaf, making it on first use.
@@ -110,11 +126,15 @@
 	if entry == nil {
 		return nil, kind.Errorf(kind.NotHolder, "leaf %q is not in the document in force", name)
 	}
-	caller, err := h.dial(name, h.permits.Permit(name).Connections)
+	address, found := h.targets.Address(entry)
+	if !found {
+		return nil, kind.Errorf(kind.ConnectFailed, "leaf %q has no address", name)
+	}
+	caller, err := h.targets.Dial(address, h.permits.Permit(name).Connections)
 	if err != nil {
 		return nil, kind.Errorf(kind.ConnectFailed, "leaf %q: %w", name, err)
 	}
-	l = newLeaf(name, entry, caller, h)
+	l = newLeaf(entry, address, caller, h)
 	s.leaves[name] = l
 	return l, nil
 }
@@ -160,12 +180,15 @@
 		return refused(c, err)
 	}
 	done := make(chan wire.LeafResult, 1)
-	h.wg.Go(func() { done <- l.exchange(c, id, permit) })
+	if !h.tasks.Go(func() { done <- l.exchange(c, id, permit) }) {
+		l.settle(id)
+		return refused(c, errStopping)
+	}
 	select {
 	case result := <-done:
 		return result
 	case <-ctx.Done():
-		h.wg.Go(func() { l.cancelCall(c.ID) })
+		h.tasks.Go(func() { l.cancelCall(c.ID) })
 		return refused(c, kind.Errorf(kind.Canceled, "call to leaf %q was canceled", c.Leaf))
 	}
 }
@@ -244,7 +267,7 @@
 		s.mu.RLock()
 		for name, l := range s.leaves {
 			if h.permits.Permit(name).Slots > 0 {
-				h.wg.Go(func() { l.poll(ctx) })
+				h.tasks.Go(func() { l.poll(ctx) })
 			}
 		}
 		s.mu.RUnlock()
--- a/internal/holder/leaf.go
+++ b/internal/holder/leaf.go
@@ -19,12 +19,13 @@
 // leaf is this node's share of one leaf: its queue, its warm-up and its
 // connections.
 type leaf struct {
-	name   string
-	holder *Holder
-	caller target.Caller
-	entry  *document.LeafEntry
+	name    string
+	address string
+	holder  *Holder
+	caller  target.Caller
 	// mu guards the fields below.
 	mu        sync.Mutex
+	entry     *document.LeafEntry
 	scheduler *admission.Scheduler
 	tracker   *warmup.Tracker
 	permit    Permit
@@ -47,13 +48,21 @@
 	warm        bool
 }
 
+const (
+	// closeBound is the longest time that running calls of a leaf that is given
+	// up are waited for.
+	closeBound    = 30 * time.Second
+	closeInterval = 10 * time.Millisecond
+)
+
 // started is sent to a waiting call that now holds a slot.
 const started = kind.Kind(255)
 
-func newLeaf(name string, entry *document.LeafEntry, caller target.Caller, h *Holder) *leaf {
+func newLeaf(entry *document.LeafEntry, address string, caller target.Caller, h *Holder) *leaf {
 	limits := entry.Service.Limits
 	return &leaf{
-		name:      name,
+		name:      entry.Name,
+		address:   address,
 		holder:    h,
 		caller:    caller,
 		entry:     entry,
@@ -64,7 +73,13 @@
 	}
 }
 
+// close waits until the leaf runs no call, within a bound, and ends its
+// connections.
 func (l *leaf) close() {
+	end := time.Now().Add(closeBound)
+	for l.inUse() > 0 && time.Now().Before(end) {
+		time.Sleep(closeInterval)
+	}
 	l.caller.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -77,6 +92,12 @@
 	}
 }
 
+func (l *leaf) setEntry(entry *document.LeafEntry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entry = entry
+}
+
 // acquire waits until the call holds a slot. The caller must release it.
 func (l *leaf) acquire(ctx context.Context, c *Call, permit Permit) (uint64, error) {
 	id, wait, err := l.submit(c, permit)
--- a/internal/holder/scatter.go
+++ b/internal/holder/scatter.go
@@ -14,7 +14,9 @@
 	results := make(chan wire.LeafResult, len(m.Leaves))
 	for _, name := range m.Leaves {
 		call := newCall(m, name, deadline)
-		h.wg.Go(func() { results <- h.Call(ctx, call) })
+		if !h.tasks.Go(func() { results <- h.Call(ctx, call) }) {
+			results <- refused(call, errStopping)
+		}
 	}
 	for range m.Leaves {
 		result := <-results
--- a/internal/holder/types.go
+++ b/internal/holder/types.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/redwingshelf/redwingshelf/internal/document"
 	"github.com/redwingshelf/redwingshelf/internal/target"
 )
 
@@ -44,8 +45,13 @@
 	Check(fingerprint []byte) error
 }
 
-// Dial returns the caller of a leaf.
-type Dial func(leaf string, connections int) (target.Caller, error)
+// Targets finds and calls leaves. Implementations are safe for concurrent use.
+type Targets interface {
+	// Address returns the address of a leaf, and false if it has none.
+	Address(leaf *document.LeafEntry) (string, bool)
+	// Dial returns the caller of the leaf at an address.
+	Dial(address string, connections int) (target.Caller, error)
+}
 
 // Call is one leaf call that an entry asks for.
 type Call struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,7 +91,7 @@
 		open.close()
 		return nil, err
 	}
-	n.holder = holder.New(n.permits, nil, n.dialLeaf, n.scope)
+	n.holder = holder.New(n.permits, nil, n.targets, n.scope)
 	n.self = n.process()
 	n.tickets = entry.NewTickets(n.self, &holders{node: n})
 	n.peers = peer.NewServer(open.peer, hello, &peerHandler{node: n})
