Keep the fleet's membership and use it for routing and spreading

Routing knew only the host list, which lags: a stopping or dead host was still asked first. The fleet controller runs package member over the peer links; hosts that are dead or leaving are asked last, and the controllers of revisions take their peers from it. A process whose name a newer one has taken ends.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/redwingshelf/redwingshelf/internal/blob"
 	"github.com/redwingshelf/redwingshelf/internal/entry"
+	"github.com/redwingshelf/redwingshelf/internal/fleet"
 	"github.com/redwingshelf/redwingshelf/internal/holder"
 	"github.com/redwingshelf/redwingshelf/internal/once"
 	"github.com/redwingshelf/redwingshelf/internal/peer"
@@ -42,6 +43,7 @@
 	listeners   listeners
 	table       *routing.Table
 	targets     *targetAddresses
+	fleet       *fleet.Controller
 	permits     *permit.Controller
 	beats       processes
 	holder      *holder.Holder
@@ -56,8 +58,10 @@
 	hosts       *blob.Controller
 	configReady chan struct{}
 	hostsReady  chan struct{}
-	ready       atomic.Bool
-	stopping    atomic.Bool
+	// failed takes the error that ends the node.
+	failed   chan error
+	ready    atomic.Bool
+	stopping atomic.Bool
 }
 
 // listeners are the open sockets of a node.
@@ -82,10 +86,12 @@
 		targets:     newTargetAddresses(s.Targets),
 		configReady: make(chan struct{}),
 		hostsReady:  make(chan struct{}),
+		failed:      make(chan error, 1),
 	}
 	n.scope, n.metrics, n.closer = newScope(s)
 	hello := wire.Hello{Host: s.Name, Incarnation: n.incarnation}
 	n.pool = peer.NewPool(hello, &processWatch{node: n})
+	n.fleet = n.newFleet()
 	n.permits, err = n.newPermits()
 	if err != nil {
 		open.close()
@@ -139,12 +145,15 @@
 	group.Go(func() error { return n.hosts.Run(groupCtx) })
 	group.Go(func() error { return n.holder.Run(groupCtx) })
 	group.Go(func() error { return n.permits.Run(groupCtx) })
+	group.Go(func() error { return n.fleet.Run(groupCtx) })
 	group.Go(func() error { return n.becomeReady(groupCtx) })
 	group.Go(func() error {
 		defer cancel()
 		select {
 		case <-ctx.Done():
 			return n.stop()
+		case err := <-n.failed:
+			return errors.Join(err, n.close())
 		case <-groupCtx.Done():
 			return n.close()
 		}
@@ -166,6 +175,8 @@
 // balancer lags, waits for running requests and then closes.
 func (n *Node) stop() error {
 	n.stopping.Store(true)
+	n.fleet.SetLeaving()
+	n.announce()
 	n.tickets.Stop()
 	n.logger.Info("node stopping")
 	time.Sleep(n.settings.Stop.BalancerLag())
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -65,7 +65,7 @@
 		SharesHeld:  shares.Held,
 		Taken:       shares.Taken,
 		Leaves:      map[string]int{},
-		Members:     map[string]int{},
+		Members:     n.fleet.Counts(),
 	}
 	if !config.AcceptedAt.IsZero() {
 		s.AcceptedAgeMS = time.Since(config.AcceptedAt).Milliseconds()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -91,6 +91,8 @@
 	case wire.TypeBlob:
 		p.node.config.Deliver(frame.Payload)
 		p.node.hosts.Deliver(frame.Payload)
+	case wire.TypeMember:
+		p.node.fleet.Deliver(frame.Payload)
 	case wire.TypeBeat:
 		p.node.receiveBeat(frame.Payload)
 	case wire.TypeHandoverNote:
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -29,6 +29,7 @@
 		return nil
 	}
 	n.ready.Store(true)
+	n.announce()
 	n.logger.Info("node ready", zap.Bool("shares", held))
 	return nil
 }
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -57,6 +57,7 @@
 func (w *processWatch) Refused(address string, incarnation uint64) {
 	if host, found := w.node.table.HostAt(address); found {
 		w.node.permits.Ended(host, incarnation)
+		w.node.fleet.Refused(host, address)
 	}
 }
 
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -137,6 +137,7 @@
 	n.holder.SetIndex(loaded.Index)
 	n.permits.SetDocument(loaded)
 	n.table.SetDocument(loaded)
+	n.announce()
 }
 
 func (n *Node) newHostsController() *blob.Controller {
@@ -169,12 +170,6 @@
 	if err := n.permits.SetHosts(list.Revision, routing.PlacementHosts(list)); err != nil {
 		n.logger.Error("host list can't divide the shares", zap.Error(err))
 	}
-	var members []confsync.Peer
-	for _, h := range list.Hosts {
-		if h.Name != n.settings.Name {
-			members = append(members, confsync.Peer{Name: h.Name, Address: h.Address, DataCentre: h.DataCentre})
-		}
-	}
-	n.config.SetMembers(members)
-	n.hosts.SetMembers(members)
+	n.fleet.SetHosts(memberHosts(list))
+	n.announce()
 }
