Choose replicas by expected time; bound the flows of a leaf

Cause: a leaf call needs a replica that is allowed, warm and quick, and the state of fairness must not grow with the customers.

Admission: flows are forgotten at 64; the gate's average follows the length of the window.

Warm-up: a rapid test of a leaf that counts its own calls.

--- a/internal/admission/fairness.go
+++ b/internal/admission/fairness.go
@@ -49,11 +49,15 @@
 	}
 }
 
-// forgetIdle drops the flows that a new flow would not differ from.
+// forgetIdle drops the flows that a new flow would not differ from, and all
+// flows if most are active, so that their number stays bounded.
 func (f *fairness) forgetIdle() {
 	for key, finish := range f.finish {
 		if finish <= f.virtual[key.class] {
 			delete(f.finish, key)
 		}
 	}
+	if len(f.finish) > maxFlows/2 {
+		clear(f.finish)
+	}
 }
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -8,8 +9,8 @@
 const (
 	// gateWindow is the time between two computations of the admitted shares.
 	gateWindow = 200 * time.Millisecond
-	// gateWeight is the weight of a new window in the averages of the gate.
-	gateWeight = 0.1
+	// gateMemory is the time constant of the average offered load.
+	gateMemory = 2 * time.Second
 	// gateServiceWeight is the weight of a new sample in the gate's average
 	// service time. It is small so that leaves of equal speed agree.
 	gateServiceWeight = 0.01
@@ -87,10 +88,11 @@
 // recompute ends the window and divides the capacity of the leaf.
 func (g *gate) recompute(now time.Duration, slots int) {
 	window := now - g.ends + gateWindow
+	weight := 1 - math.Exp(-float64(window)/float64(gateMemory))
 	g.ends = now + gateWindow
 	g.sorted = g.sorted[:0]
 	for key, f := range g.flows {
-		f.rate += gateWeight * (f.calls/window.Seconds() - f.rate)
+		f.rate += weight * (f.calls/window.Seconds() - f.rate)
 		f.calls = 0
 		if f.rate < idleRate {
 			delete(g.flows, key)
--- a/internal/admission/overload_test.go
+++ b/internal/admission/overload_test.go
@@ -44,8 +44,7 @@
 					peak = max(peak, goodput)
 					if factor == 2 {
 						twice = goodput
-						b := simulate(&fifo{slots: 2}, calls)
-						base = float64(b.good) / l.length.Seconds()
+						base = float64(fifo(calls)) / l.length.Seconds()
 					}
 					t.Logf("seed=%d load=%.2f goodput=%.1f/s refused=%d of %d latest refusal=%v", seed, factor, goodput, r.refused, r.offered, r.latestRefusal)
 				}
--- a/internal/admission/scheduler_test.go
+++ b/internal/admission/scheduler_test.go
@@ -172,33 +172,32 @@
 	require.Less(t, r.share(1, "heavy"), 0.6)
 }
 
+func TestFlowsAreBounded(t *testing.T) {
+	s := New(Config{Slots: 1, Utilization: 1})
+	for id := uint64(1); id <= 10*maxFlows; id++ {
+		s.Submit(0, item(id, 0, fmt.Sprint(id)))
+		s.Release(0, id)
+	}
+	require.LessOrEqual(t, len(s.fair.finish), maxFlows)
+	require.LessOrEqual(t, len(s.gate.flows), maxFlows+1)
+}
+
 func BenchmarkCallOnBusyLeaf(b *testing.B) {
-	for _, queued := range []int{0, 8, 63} {
+	for _, queued := range []uint64{0, 8, 63} {
 		b.Run(fmt.Sprintf("queued=%d", queued), func(b *testing.B) {
-			s := New(Config{Slots: 2, MaxWait: time.Hour})
-			it := Item{Customer: "a", Deadline: 1 << 62}
-			running := []uint64{}
-			for id := uint64(1); id <= uint64(queued)+2; id++ {
-				it.ID = id
-				if s.Submit(0, it).Verdict == Start {
-					running = append(running, id)
-				}
+			s := New(Config{Slots: 1, MaxWait: time.Hour, Utilization: 10})
+			running, id := uint64(1), uint64(1)
+			for ; id <= queued+1; id++ {
+				s.Submit(0, Item{ID: id, Deadline: never})
 			}
 			now := time.Duration(0)
 			b.ReportAllocs()
 			for b.Loop() {
 				now += ms
-				it.ID++
-				s.Submit(now, it)
+				s.Submit(now, Item{ID: id, Deadline: never})
+				id++
 				s.NextExpiry()
-				done := running[0]
-				running = append(running[:0], running[1:]...)
-				for _, started := range s.Done(now, done).Start {
-					running = append(running, started.ID)
-				}
-				if len(running) < 2 {
-					running = append(running, it.ID)
-				}
+				running = s.Done(now, running).Start[0].ID
 			}
 		})
 	}
--- a/internal/admission/sim_test.go
+++ b/internal/admission/sim_test.go
@@ -10,44 +10,6 @@
 // never is later than any event of a simulation.
 const never = time.Duration(1) << 62
 
-// admitter is the part of Scheduler that the simulation drives.
-type admitter interface {
-	Submit(now time.Duration, it Item) Decision
-	Done(now time.Duration, id uint64) Batch
-	Expire(now time.Duration) Batch
-	NextExpiry() (time.Duration, bool)
-}
-
-// fifo is the baseline: a queue without bounds in order of arrival.
-type fifo struct {
-	slots, running int
-	waiting        []Item
-	started        []Item
-}
-
-func (f *fifo) Submit(_ time.Duration, it Item) Decision {
-	if f.running < f.slots {
-		f.running++
-		return Decision{Verdict: Start}
-	}
-	f.waiting = append(f.waiting, it)
-	return Decision{Verdict: Queued}
-}
-
-func (f *fifo) Done(time.Duration, uint64) Batch {
-	f.started = f.started[:0]
-	f.running--
-	if len(f.waiting) > 0 {
-		f.started = append(f.started, f.waiting[0])
-		f.waiting = f.waiting[1:]
-		f.running++
-	}
-	return Batch{Start: f.started}
-}
-
-func (f *fifo) Expire(time.Duration) Batch        { return Batch{} }
-func (f *fifo) NextExpiry() (time.Duration, bool) { return 0, false }
-
 // call is one arrival of a simulation.
 type call struct {
 	Item
@@ -84,6 +46,23 @@
 	}
 }
 
+// fifo returns the number of answers in time of the baseline: two slots behind a
+// queue without bounds in order of arrival.
+func fifo(calls []call) (good int) {
+	var free [2]time.Duration
+	for _, c := range calls {
+		slot := 0
+		if free[1] < free[0] {
+			slot = 1
+		}
+		free[slot] = max(c.at, free[slot]) + c.service
+		if free[slot] <= c.Deadline {
+			good++
+		}
+	}
+	return good
+}
+
 // result sums up a simulation.
 type result struct {
 	offered, good, refused int
@@ -101,14 +80,14 @@
 
 // leafSim runs one leaf in virtual time.
 type leafSim struct {
-	sched   admitter
+	sched   *Scheduler
 	calls   map[uint64]call
 	ends    map[uint64]time.Duration
 	result  result
 	refused map[uint64]bool
 }
 
-func simulate(s admitter, calls []call) result {
+func simulate(s *Scheduler, calls []call) result {
 	sim := &leafSim{
 		sched:   s,
 		calls:   make(map[uint64]call),
--- /dev/null
+++ b/internal/replica/picker.go
@@ -0,0 +1,123 @@
+// Package replica chooses the replica of a shard that a leaf call is sent to.
+//
+// A choice uses only what the entry host knows: the document and the host list,
+// the pinned snapshot, the leaf's condition, and the host's own calls in flight,
+// latencies and failures. Among equally suitable replicas it takes the one with
+// the shortest expected time, and any of them at random if they are equal.
+//
+// The package is pure: time and randomness are passed in, and the caller
+// serializes the calls that share Stats.
+package replica
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// probeShare is the share of first tries that go to a cold leaf with a free
+	// slot, so that it becomes warm.
+	probeShare = 0.1
+	// minLatency is the least expected latency, also of a replica without answers.
+	minLatency = time.Millisecond
+	// maxCandidates is the number of replicas of a shard that are considered.
+	maxCandidates = 16
+)
+
+// suitability orders candidates before their expected time is compared.
+type suitability uint8
+
+const (
+	warmHeld suitability = iota
+	warmUnknown
+	coldFree
+	coldBusy
+)
+
+// Choice is the outcome of Pick.
+type Choice struct {
+	// Index is the place of the chosen candidate.
+	Index int
+	// OK is false if no candidate can be chosen.
+	OK bool
+	// Excluded counts the candidates that cannot be chosen.
+	Excluded Excluded
+}
+
+// Pick chooses among the replicas of a shard for a call that has been sent to
+// the instances in tried.
+func Pick(now time.Duration, rng *rand.Rand, cands []Candidate, tried []string) Choice {
+	var usable [maxCandidates]int
+	var out Choice
+	n := 0
+	for i := range cands {
+		if out.Excluded.add(&cands[i], tried) || n == maxCandidates {
+			continue
+		}
+		usable[n] = i
+		n++
+	}
+	if n == 0 {
+		return out
+	}
+	best := most(cands, usable[:n], len(tried) == 0 && rng.Float64() < probeShare)
+	out.Index = compare(now, rng, cands, best)
+	out.OK = true
+	return out
+}
+
+// most keeps the indices of the most suitable candidates. With probe, cold
+// leaves with a free slot come first.
+func most(cands []Candidate, usable []int, probe bool) []int {
+	best := coldBusy
+	for _, i := range usable {
+		s := suit(&cands[i])
+		if probe && s == coldFree {
+			best = coldFree
+			break
+		}
+		best = min(best, s)
+	}
+	kept := usable[:0]
+	for _, i := range usable {
+		if suit(&cands[i]) == best {
+			kept = append(kept, i)
+		}
+	}
+	return kept
+}
+
+func suit(c *Candidate) suitability {
+	switch {
+	case c.Condition == Warm && c.Snapshot == SnapshotHeld:
+		return warmHeld
+	case c.Condition == Warm:
+		return warmUnknown
+	case c.Stats.outstanding < c.ColdSlots:
+		return coldFree
+	default:
+		return coldBusy
+	}
+}
+
+// compare returns the candidate with the shortest expected time, beginning at a
+// random place so that equal ones are chosen alike.
+func compare(now time.Duration, rng *rand.Rand, cands []Candidate, from []int) int {
+	offset := rng.IntN(len(from))
+	best := from[offset]
+	least := expected(now, &cands[best])
+	for k := 1; k < len(from); k++ {
+		i := from[(offset+k)%len(from)]
+		if t := expected(now, &cands[i]); t < least {
+			best, least = i, t
+		}
+	}
+	return best
+}
+
+// expected estimates the time of one more call, lengthened by recent failures.
+func expected(now time.Duration, c *Candidate) float64 {
+	latency := max(c.Stats.Latency(now), minLatency)
+	queue := float64(c.Stats.outstanding+1) / float64(max(c.Slots, 1))
+	return float64(latency) * queue * (1 + c.Stats.recentFailures(now))
+}
