--- a/internal/once/table.go
+++ b/internal/once/table.go
@@ -182,8 +182,13 @@
 	return true
 }
 
-// Knows reports whether the table can decide on a ticket.
-func (t *Table) Knows(now time.Duration, ticket Ticket) bool {
+// Local reports whether requests with a ticket are decided on here: the ticket
+// was issued by this process, or has been handed over to it. Others are
+// forwarded to the process that a Directory names.
+func (t *Table) Local(now time.Duration, ticket Ticket) bool {
+	if ticket.Home == t.self {
+		return true
+	}
 	s := t.shard(ticket)
 	s.mu.Lock()
 	defer s.mu.Unlock()
