--- a/internal/snapshot/choose.go
+++ b/internal/snapshot/choose.go
@@ -11,12 +11,12 @@
 func (p *planner) choose(id ID, shards []Shard) []Choice {
 	p.place(id)
 	choices := make([]Choice, 0, len(shards))
-	choices = p.appendTiles(choices, shards)
+	choices = p.appendTiles(choices, id, shards)
 	if p.set.Full() {
 		return choices
 	}
 	for _, i := range p.unplaced {
-		choices = append(choices, p.choice(i, shards, Range{}, true))
+		choices = append(choices, p.choice(id, i, shards, Range{}, true))
 	}
 	return p.appendTrials(choices, id, shards)
 }
@@ -24,7 +24,7 @@
 // appendTiles covers the key space from the left, each time with the leaf that
 // reaches furthest. This takes the fewest leaves, and of a set of tiles with
 // replicas it takes each tile once.
-func (p *planner) appendTiles(choices []Choice, shards []Shard) []Choice {
+func (p *planner) appendTiles(choices []Choice, id ID, shards []Shard) []Choice {
 	slices.SortFunc(p.placed, func(a, b placed) int { return cmp.Compare(a.r.From, b.r.From) })
 	next := 0
 	position := uint32(0)
@@ -37,7 +37,7 @@
 			next++
 		}
 		if furthest.r.To > position {
-			choices = append(choices, p.choice(furthest.index, shards, furthest.r, true))
+			choices = append(choices, p.choice(id, furthest.index, shards, furthest.r, true))
 			position = furthest.r.To
 			continue
 		}
@@ -70,7 +70,7 @@
 	for start := 0; start < len(p.candidates); {
 		end := p.shardEnd(start)
 		if trial := p.trial(id, start, end); trial >= 0 {
-			choices = append(choices, p.choice(trial, shards, Range{}, false))
+			choices = append(choices, p.choice(id, trial, shards, Range{}, false))
 		}
 		start = end
 	}
@@ -114,15 +114,17 @@
 			}
 		}
 		if best >= 0 {
-			choices = append(choices, p.choice(best, shards, Range{}, false))
+			choices = append(choices, p.choice(ID{}, best, shards, Range{}, false))
 		}
 		start = end
 	}
 	return choices
 }
 
-// choice describes candidate i.
-func (p *planner) choice(i int, shards []Shard, r Range, known bool) Choice {
+// choice describes candidate i for a snapshot.
+func (p *planner) choice(id ID, i int, shards []Shard, r Range, known bool) Choice {
 	c := &p.candidates[i]
-	return Choice{Leaf: c.name, Shard: shards[c.shard].Name, Range: r, Known: known, index: c.shard}
+	return Choice{
+		Leaf: c.name, Shard: shards[c.shard].Name, Snapshot: id, Range: r, Known: known, index: c.shard,
+	}
 }
--- a/internal/snapshot/plan.go
+++ b/internal/snapshot/plan.go
@@ -21,6 +21,8 @@
 type Choice struct {
 	Leaf  string
 	Shard string
+	// Snapshot is the one to ask the leaf for; zero if none is pinned.
+	Snapshot ID
 	// Range is the part that the leaf is expected to cover; zero when unknown.
 	Range Range
 	// Known reports whether the leaf is known to hold the snapshot. If not, the
--- a/internal/snapshot/query.go
+++ b/internal/snapshot/query.go
@@ -20,6 +20,9 @@
 	StepTry
 	// StepRestart discards all answers and starts again on another snapshot.
 	StepRestart
+	// StepStale ignores the failure: its call belongs to a plan that has been
+	// replaced.
+	StepStale
 )
 
 // Action is a Step and what it needs.
@@ -73,6 +76,9 @@
 // refusal, before. A restart needs the time pass of a whole query to be left
 // before the deadline.
 func (q *Query) Failed(now time.Duration, choice Choice, why kind.Kind, pass time.Duration) Action {
+	if !choice.Snapshot.Same(q.plan.Snapshot) {
+		return Action{Step: StepStale}
+	}
 	q.markFailed(choice.Leaf, why)
 	if other, ok := q.alternative(now, choice); ok {
 		q.plan.Choices = append(q.plan.Choices, other)
@@ -157,7 +163,7 @@
 // covers reports whether a leaf of shard i may cover the part of choice in the
 // pinned snapshot: by a known range, or as a replica of the same shard.
 func (q *Query) covers(now time.Duration, i int, leaf string, choice Choice) (Choice, bool) {
-	other := Choice{Leaf: leaf, Shard: q.shards[i].Name, index: i}
+	other := Choice{Leaf: leaf, Shard: q.shards[i].Name, Snapshot: q.plan.Snapshot, index: i}
 	replica := i == choice.index
 	state := q.know.fresh(now, leaf)
 	if state == nil {
--- a/internal/snapshot/query_test.go
+++ b/internal/snapshot/query_test.go
@@ -147,6 +147,7 @@
 		if tc.why == kind.SnapshotNotHeld {
 			refuse(k, tc.leaf, tc.holds...)
 		}
+		first := q.Plan().Choices
 		action := q.Failed(tc.now, choiceOf(t, q, tc.leaf), tc.why, pass)
 		require.Equal(t, tc.want, action.Step, tc.name)
 		switch action.Step {
@@ -155,6 +156,7 @@
 		case StepRestart:
 			require.Equal(t, s1, action.Plan.Snapshot, tc.name)
 			require.Contains(t, leavesOf(action.Plan.Choices), tc.next, tc.name)
+			require.Equal(t, StepStale, q.Failed(tc.now, first[1], tc.why, pass).Step, tc.name)
 		}
 	}
 }
