Start a cell beside a silent host only on a list that is fresh

A process now starts a session beside a silent host only if the list was read again after ListLag, or if all hosts in contact run the processes that it knew while it was attached.

--- a/internal/share/contact.go
+++ b/internal/share/contact.go
@@ -51,7 +51,7 @@
 }
 
 // attach starts the use of shares in this session: through a peer that is
-// attached, or if all hosts but one that none of them hears are accounted for.
+// attached, or if every host is accounted for.
 func (s *State) attach(now time.Duration) {
 	if !s.attached {
 		s.attached = !s.stopped[s.opts.Host] && (s.attachedPeer(now) || s.allAccounted(now))
@@ -84,20 +84,38 @@
 	return p.contacted && p.contactAt >= s.sessionStart
 }
 
-// allAccounted reports that every other host is in contact, has ended or has
-// been fenced.
+// allAccounted reports that every other host is in contact or has ended. A
+// silent host may act on a newer host list, so that it is passed over only if
+// it is fenced and this process could not have missed that list.
 func (s *State) allAccounted(now time.Duration) bool {
+	mayPassOver := s.confirmedAt >= s.sessionStart+s.opts.ListLag || s.allFamiliar(now)
 	for _, p := range s.peers {
-		if !s.concerns(p) || s.stopped[p.name] {
+		if !s.concerns(p) || s.stopped[p.name] || s.inContact(p, now) || s.endedInSession(p) {
 			continue
 		}
-		if !s.inContact(p, now) && !s.endedInSession(p) && !s.gone(p, now, s.longestCall) {
+		if !mayPassOver || !s.gone(p, now, s.longestCall) {
 			return false
 		}
 	}
 	return true
 }
 
+// allFamiliar reports that each host in contact runs the same process as when
+// this one was attached. A newer list cannot have been settled without them.
+func (s *State) allFamiliar(now time.Duration) bool {
+	found := false
+	for _, p := range s.peers {
+		if !s.concerns(p) || !s.inContact(p, now) {
+			continue
+		}
+		if !p.familiar {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // concerns reports whether a host belongs to a view that may be in force.
 func (s *State) concerns(p *peer) bool {
 	_, unsettled := s.unsettled[p.name]
--- a/internal/share/model_test.go
+++ b/internal/share/model_test.go
@@ -27,15 +27,17 @@
 	case 0, 1:
 		h.frozenUntil = s.now + time.Duration(s.rng.Int64N(int64(5*time.Second)))
 	case 2:
-		if i != anchor {
-			s.kill(i)
-		}
+		s.crash(i)
 	case 3, 4:
 		if h.state == nil {
 			s.startProcess(i, s.rng.IntN(3))
 		}
 	case 5:
-		s.refuse(s.rng.IntN(len(s.hosts)), i)
+		for at := range s.hosts {
+			if s.rng.IntN(3) > 0 {
+				s.refuse(at, i)
+			}
+		}
 	case 6:
 		s.cut[[2]int{i, s.rng.IntN(len(s.hosts))}] = true
 	case 7:
@@ -54,6 +56,22 @@
 	}
 }
 
+// crash ends a process. Some are noticed or replaced at once.
+func (s *sim) crash(i int) {
+	if i == anchor {
+		return
+	}
+	s.kill(i)
+	switch s.rng.IntN(3) {
+	case 0:
+		s.startProcess(i, s.rng.IntN(2))
+	case 1:
+		for at := range s.hosts {
+			s.refuse(at, i)
+		}
+	}
+}
+
 // changeView publishes a random host list.
 func (s *sim) changeView() {
 	var members []int
@@ -80,6 +98,7 @@
 
 // runModel drives random hosts and faults for one seed.
 func runModel(seed uint64, opts Options) error {
+	opts.ListLag = modelDuration
 	s := newSim(seed, 2+int(seed%6), opts)
 	if err := s.run(3 * time.Second); err != nil {
 		return err
--- a/internal/share/options.go
+++ b/internal/share/options.go
@@ -17,6 +17,7 @@
 	DefaultUseLease     = 1200 * time.Millisecond
 	DefaultMaxCall      = time.Second
 	DefaultMargin       = 100 * time.Millisecond
+	DefaultListLag      = 10 * time.Second
 )
 
 // Options configures a State. Zero durations take their defaults. All
@@ -38,6 +39,9 @@
 	MaxCall time.Duration
 	// Margin covers clock drift within one lease and the transit of a call.
 	Margin time.Duration
+	// ListLag bounds how stale the platform's host list is. It matters only when
+	// no process is attached and a host is silent.
+	ListLag time.Duration
 	// ExitEndsCalls is set when leaves cancel a call whose connection closes,
 	// so that the end of a process also ends its calls.
 	ExitEndsCalls bool
@@ -56,6 +60,7 @@
 	setDefault(&o.UseLease, DefaultUseLease)
 	setDefault(&o.MaxCall, DefaultMaxCall)
 	setDefault(&o.Margin, DefaultMargin)
+	setDefault(&o.ListLag, DefaultListLag)
 	if o.UseLease <= o.BeatInterval {
 		return o, fmt.Errorf("use lease %v must be longer than the heartbeat interval %v", o.UseLease, o.BeatInterval)
 	}
--- a/internal/share/peer.go
+++ b/internal/share/peer.go
@@ -24,6 +24,8 @@
 
 	// contact is set for hosts of every view that could be in force.
 	contact bool
+	// familiar is set for a process that was heard while this one was attached.
+	familiar bool
 	// contactAt is when the latest heartbeat that this peer echoed was sent;
 	// contacted is false if there is none.
 	contacted bool
@@ -119,6 +121,7 @@
 	p.settled = b.Settled
 	p.flags = b.Flags
 	p.draining = b.Draining
+	p.familiar = p.familiar || s.attached
 }
 
 // recordEcho records two-way contact and the reports that depend on it.
--- a/internal/share/state.go
+++ b/internal/share/state.go
@@ -22,6 +22,8 @@
 	released   uint64
 	settled    uint64
 	replacedAt time.Duration
+	// confirmedAt is when the platform last named the view's revision.
+	confirmedAt time.Duration
 	// unsettled holds hosts of replaced views, and whether they may use shares
 	// without contact.
 	unsettled map[string]bool
--- a/internal/share/state_test.go
+++ b/internal/share/state_test.go
@@ -185,6 +185,72 @@
 	require.Equal(t, 1, allowed(second).Slots)
 }
 
+// A host that was fenced and a process that starts on an old list reach only
+// each other. Neither may use shares, since the others have moved them.
+func TestStaleProcessCannotAttachAFencedHost(t *testing.T) {
+	s := settledSim(t, 6)
+	s.split(func(i int) bool { return i == 0 })
+	require.NoError(t, s.run(3*time.Second))
+	s.addView([]int{1, 2, 3, 4, 5})
+	for i := 1; i < 6; i++ {
+		s.setView(i, 1)
+	}
+	until(t, s, 4*time.Second, s.full)
+	clear(s.cut)
+	s.split(func(i int) bool { return i < 2 })
+	s.startProcess(1, 1)
+	require.NoError(t, s.run(10*time.Second))
+	require.Zero(t, s.hosts[0].state.Status().Held+s.hosts[1].state.Status().Held)
+	clear(s.cut)
+	s.setView(0, 1)
+	s.setView(1, 1)
+	until(t, s, 4*time.Second, s.full)
+}
+
+// A deputy that was fenced returns with proof that the owner's process had
+// ended, while the owner's next process uses the shares.
+func TestProofOfAnEndedProcessExpires(t *testing.T) {
+	s := settledSim(t, 3)
+	s.kill(1)
+	s.refuse(2, 1)
+	require.NoError(t, s.run(2*time.Second))
+	require.Equal(t, []string{"host-1"}, s.hosts[2].state.Status().Taken)
+	s.split(func(i int) bool { return i == 2 })
+	s.startProcess(1, 0)
+	until(t, s, 6*time.Second, s.full)
+	delete(s.cut, [2]int{0, 2})
+	delete(s.cut, [2]int{2, 0})
+	require.NoError(t, s.run(5*time.Second))
+	require.Empty(t, s.hosts[2].state.Status().Taken)
+}
+
+// All processes start anew while a host is silent.
+func TestStartBesideASilentHost(t *testing.T) {
+	s := newSim(5, 6, Options{ListLag: 10 * time.Second})
+	s.kill(5)
+	require.NoError(t, s.run(9*time.Second))
+	require.Zero(t, s.least())
+	require.NoError(t, s.run(2*time.Second))
+	for i := range 5 {
+		s.setView(i, 0)
+	}
+	until(t, s, 4*time.Second, s.full)
+}
+
+// All hosts lose contact while one of them is dead.
+func TestOutageBesideASilentHost(t *testing.T) {
+	s := settledSim(t, 6)
+	s.kill(5)
+	until(t, s, 3*time.Second, s.full)
+	for i := range s.hosts {
+		s.split(func(j int) bool { return j == i })
+	}
+	require.NoError(t, s.run(3*time.Second))
+	require.Zero(t, s.least())
+	clear(s.cut)
+	until(t, s, 4*time.Second, s.full)
+}
+
 func TestOptionsErrors(t *testing.T) {
 	_, err := New(Options{}, 0)
 	require.ErrorContains(t, err, "no host")
--- a/internal/share/view.go
+++ b/internal/share/view.go
@@ -36,7 +36,8 @@
 // contactFree reports whether members use their shares without contact.
 func (v *view) contactFree() bool { return len(v.members) <= maxContactFree }
 
-// SetView takes a host list. Revisions below the one in force are ignored.
+// SetView takes a host list. Revisions below the one in force are ignored. Every
+// list that is read should be passed on, also if it repeats the revision.
 func (s *State) SetView(now time.Duration, v View) error {
 	s.observe(now)
 	next, err := newView(v, s.opts.Cell)
@@ -44,13 +45,14 @@
 		return err
 	}
 	if s.view != nil && v.Revision <= s.view.revision {
-		return s.checkRepeated(next)
+		return s.checkRepeated(now, next)
 	}
 	s.known = max(s.known, v.Revision)
 	previous := s.view
 	s.replaceView(previous, next)
 	s.view = next
 	s.replacedAt = now
+	s.confirmedAt = now
 	s.nextBeat = now
 	s.rebuild(s.relayout(previous))
 	s.observe(now)
@@ -59,13 +61,14 @@
 }
 
 // checkRepeated refuses other hosts under the revision in force.
-func (s *State) checkRepeated(next *view) error {
+func (s *State) checkRepeated(now time.Duration, next *view) error {
 	if next.revision < s.view.revision {
 		return nil
 	}
 	if !slices.Equal(next.planner.Hosts(), s.view.planner.Hosts()) {
 		return fmt.Errorf("host list revision %d differs from the one in force", next.revision)
 	}
+	s.confirmedAt = now
 	return nil
 }
 
