--- a/internal/placement/leaf.go
+++ b/internal/placement/leaf.go
@@ -36,6 +36,9 @@
 	Shares          []Share
 }
 
+// Hash returns a hash of the leaf's ID that is the same in every process.
+func (l Leaf) Hash() uint64 { return hashString(l.ID) }
+
 // ServiceID returns the identifier of a customer's service.
 func ServiceID(customer, service string) string {
 	return customer + "/" + service
--- a/internal/share/leaf.go
+++ b/internal/share/leaf.go
@@ -1,7 +1,6 @@
 package share
 
 import (
-	"hash/fnv"
 	"time"
 
 	"github.com/redwingshelf/redwingshelf/internal/placement"
@@ -71,14 +70,7 @@
 }
 
 func newLeaf(l placement.Leaf, maxCall time.Duration) *leaf {
-	hash := hashLeaf(l.ID)
-	return &leaf{id: l.ID, hash: hash, maxCall: maxCall, shares: make([]share, len(l.Shares))}
-}
-
-func hashLeaf(id string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(id))
-	return h.Sum64()
+	return &leaf{id: l.ID, hash: l.Hash(), maxCall: maxCall, shares: make([]share, len(l.Shares))}
 }
 
 // held returns the number of slots that may be used, warm or cold.
--- a/internal/share/model_test.go
+++ b/internal/share/model_test.go
@@ -99,7 +99,9 @@
 // runModel drives random hosts and faults for one seed.
 func runModel(seed uint64, opts Options) error {
 	opts.ListLag = modelDuration
-	s := newSim(seed, 2+int(seed%6), opts)
+	doc := simDocument(simInstances)
+	addService(doc, 8, 1, "direct")
+	s := newSimWith(doc, seed, 2+int(seed%6), opts)
 	if err := s.run(3 * time.Second); err != nil {
 		return err
 	}
--- a/internal/share/sim_test.go
+++ b/internal/share/sim_test.go
@@ -63,23 +63,31 @@
 // simDocument has leaves of one, two and five slots.
 func simDocument(instances int) *document.Document {
 	doc := &document.Document{Revision: 1, DataCentres: []document.DataCentre{{Name: "dc0", Region: "r"}}}
-	var services []document.Service
+	doc.Deployments = []document.Deployment{{Customer: "adom"}}
 	for _, slots := range []int{1, 2, 5} {
-		s := document.Service{Name: fmt.Sprintf("s%d", slots), Leaf: document.LeafLimits{Slots: slots, Connections: 50}}
-		for i := range instances {
-			s.Instances = append(s.Instances, document.Instance{Name: fmt.Sprintf("i%d", i), DataCentre: "dc0", Leaves: []document.Leaf{{Name: "a"}}})
-		}
-		services = append(services, s)
+		addService(doc, slots, instances, "holder")
 	}
-	doc.Deployments = []document.Deployment{{Customer: "adom", Services: services}}
 	return doc
 }
 
+func addService(doc *document.Document, slots, instances int, routing string) {
+	s := document.Service{Name: fmt.Sprintf("s%d", slots), Leaf: document.LeafLimits{Slots: slots, Connections: 50}}
+	s.Policy.Routing = routing
+	for i := range instances {
+		s.Instances = append(s.Instances, document.Instance{Name: fmt.Sprintf("i%d", i), DataCentre: "dc0", Leaves: []document.Leaf{{Name: "a"}}})
+	}
+	doc.Deployments[0].Services = append(doc.Deployments[0].Services, s)
+}
+
 func newSim(seed uint64, hosts int, opts Options) *sim {
+	return newSimWith(simDocument(simInstances), seed, hosts, opts)
+}
+
+func newSimWith(doc *document.Document, seed uint64, hosts int, opts Options) *sim {
 	s := &sim{
 		rng:    rand.New(rand.NewPCG(seed, 1)),
 		opts:   opts,
-		doc:    simDocument(simInstances),
+		doc:    doc,
 		cut:    make(map[[2]int]bool),
 		bounds: make(map[string]int),
 	}
--- a/internal/share/state.go
+++ b/internal/share/state.go
@@ -178,8 +178,8 @@
 	}
 	s.evaluateFences(now)
 	s.attach(now)
-	s.settle(now)
 	s.release(now)
+	s.settle(now)
 	s.returnTaken(now)
 	s.updateLeaves(now)
 }
--- a/internal/share/state_test.go
+++ b/internal/share/state_test.go
@@ -1,10 +1,14 @@
 package share
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/redwingshelf/redwingshelf/internal/placement"
 )
 
 // settledSim returns hosts that use all shares.
@@ -251,6 +255,56 @@
 	until(t, s, 4*time.Second, s.full)
 }
 
+// A leaf that comes from another cell waits for the hosts of that cell.
+func TestLeafFromAnotherCellWaits(t *testing.T) {
+	mine := placement.Host{Name: "a", Cell: "c1", Region: "r"}
+	other := placement.Host{Name: "b", Cell: "c2", Region: "r"}
+	s, err := New(Options{Host: "a", Cell: "c1", Incarnation: 1}, 0)
+	require.NoError(t, err)
+	s.SetDocument(0, simDocument(simInstances))
+	require.NoError(t, s.SetView(0, View{Revision: 1, Hosts: []placement.Host{mine, other}}))
+	tick := func(from, to time.Duration) (out []Outgoing) {
+		for now := from; now < to; now += simStep {
+			out = append(out, s.Tick(now)...)
+		}
+		return out
+	}
+	tick(0, 2*time.Second)
+	held := s.Status().Held
+	require.Positive(t, held)
+	require.NoError(t, s.SetView(2*time.Second, View{Revision: 2, Hosts: []placement.Host{mine}}))
+	out := tick(2*time.Second, 10*time.Second)
+	require.Equal(t, held, s.Status().Held)
+	require.Equal(t, "b", out[0].To)
+	s.Receive(10*time.Second, Beat{From: "b", Incarnation: 1, Session: 1, Seq: 1, Revision: 2, Known: 2, Released: 2})
+	require.Equal(t, 3*simInstances, s.Status().Held)
+}
+
+func TestLockedCountsCalls(t *testing.T) {
+	const leaf = "adom/s5/i0/a"
+	locked, err := NewLocked(Options{Host: "a", Incarnation: 1}, 0)
+	require.NoError(t, err)
+	locked.SetDocument(0, simDocument(1))
+	require.NoError(t, locked.SetView(0, View{Revision: 1, Hosts: []placement.Host{{Name: "a"}}}))
+	locked.Tick(time.Second)
+	locked.Tick(2 * time.Second)
+	var started atomic.Int32
+	var group errgroup.Group
+	for range 20 {
+		group.Go(func() error {
+			if _, ok := locked.TryBegin(2*time.Second, leaf); ok {
+				started.Add(1)
+			}
+			return nil
+		})
+	}
+	require.NoError(t, group.Wait())
+	require.Equal(t, int32(5), started.Load())
+	locked.End(leaf)
+	_, ok := locked.TryBegin(2*time.Second, leaf)
+	require.True(t, ok)
+}
+
 func TestOptionsErrors(t *testing.T) {
 	_, err := New(Options{}, 0)
 	require.ErrorContains(t, err, "no host")
