--- a/internal/share/status.go
+++ b/internal/share/status.go
@@ -1,9 +1,6 @@
 package share
 
-import (
-	"slices"
-	"strings"
-)
+import "slices"
 
 // Status describes a State for operators.
 type Status struct {
@@ -84,5 +81,3 @@
 		st.Lent = append(st.Lent, name)
 	}
 }
-
-func compare(a, b string) int { return strings.Compare(a, b) }
