--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -40,6 +40,9 @@
 	Leaf standin.LeafOptions
 	// Entries is the number of entries in the index of each service.
 	Entries int
+	// Targets, if set, gives the base URLs of leaves that run elsewhere. The site
+	// then starts no leaves.
+	Targets map[string]string
 	Logger  *zap.Logger
 	Seed    uint64
 }
@@ -105,9 +108,12 @@
 		return err
 	}
 	s.platform = platform
-	hosts := hostlist.List{Revision: 1, Targets: map[string]string{}}
-	if err := s.startLeaves(&hosts); err != nil {
-		return err
+	hosts := hostlist.List{Revision: 1, Targets: s.options.Targets}
+	if hosts.Targets == nil {
+		hosts.Targets = map[string]string{}
+		if err := s.startLeaves(&hosts); err != nil {
+			return err
+		}
 	}
 	if err := s.publish(); err != nil {
 		return err
@@ -250,16 +256,15 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	for _, h := range s.nodes {
-		for key := range s.services {
-			group.Go(func() error { return waitServed(ctx, h, key) })
+		for _, service := range document.NewIndex(s.doc).Services() {
+			group.Go(func() error { return waitServed(ctx, h, service) })
 		}
 	}
 	return group.Wait()
 }
 
-func waitServed(ctx context.Context, h *Host, service string) error {
-	customer, name, _ := strings.Cut(service, "/")
-	url := fmt.Sprintf("http://%s/v1/customers/%s/services/%s/search", h.Address(), customer, name)
+func waitServed(ctx context.Context, h *Host, service *document.ServiceEntry) error {
+	url := fmt.Sprintf("http://%s/v1/customers/%s/services/%s/search", h.Address(), service.Customer, service.Name)
 	status := 0
 	for {
 		request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("{}"))
@@ -276,7 +281,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("host %s does not serve %s, last status %d: %w", h.Name(), service, status, ctx.Err())
+			return fmt.Errorf("host %s does not serve %s, last status %d: %w", h.Name(), serviceKey(service), status, ctx.Err())
 		case <-time.After(pollInterval):
 		}
 	}
