--- a/internal/entry/tickets.go
+++ b/internal/entry/tickets.go
@@ -100,7 +100,7 @@
 			if err != nil {
 				return nil, kind.Errorf(kind.BadRequest, "header %s: %w", HeaderTicket, err)
 			}
-			if ticket.Home == t.self || t.table.Knows(t.now(), ticket) {
+			if t.table.Local(t.now(), ticket) {
 				return t.decide(ctx, r, ticket, next)
 			}
 			return t.forward(ctx, r, t.resolve(ticket.Home))
