Hedge leaf calls within a budget and choose holders by expected time

Holders were drawn at random and a straggler held its query up. The entry now keeps, for each service under its own lock, the latencies and outstanding calls of each leaf through each holder, plans with the shortest expected time, hedges on another instance by package hedge, and retries within a budget where a failure may have cost a target work. The loser of a hedge is canceled leaf by leaf on its stream; it keeps its slot until the leaf has answered.

--- /dev/null
+++ b/internal/entry/batch.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/redwingshelf/redwingshelf/internal/wire"
+)
+
+// batch is one message to one holder with the leaf calls that it asks for.
+type batch struct {
+	run        *searchRun
+	generation int
+	host       Host
+	sentAt     time.Duration
+	// open holds the leaves whose result has not arrived.
+	open       map[string]bool
+	cancelLeaf atomic.Pointer[func(leaf string)]
+}
+
+// searchEvent is a result of one batch, or its end.
+type searchEvent struct {
+	batch  *batch
+	result *wire.LeafResult
+	// err is set if the batch ended without all of its results.
+	err error
+}
+
+// send starts one batch.
+func (run *searchRun) send(host Host, leaves []string) {
+	run.sent++
+	b := &batch{
+		run:        run,
+		generation: run.generation,
+		host:       host,
+		sentAt:     run.now(),
+		open:       make(map[string]bool, len(leaves)),
+	}
+	for _, leaf := range leaves {
+		b.open[leaf] = true
+		run.calls[leaf].batch = b
+	}
+	run.batches = append(run.batches, b)
+	run.countSent(b)
+	go b.scatter(run.ctx, run.message(leaves))
+}
+
+func (run *searchRun) countSent(b *batch) {
+	run.state.mu.Lock()
+	defer run.state.mu.Unlock()
+	for leaf := range b.open {
+		run.state.stats(leaf, b.host.Name).Sent()
+	}
+}
+
+func (b *batch) scatter(ctx context.Context, m *wire.Scatter) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := b.run.searcher.holders.Scatter(ctx, b.host, m, b); err != nil {
+		b.run.emit(searchEvent{batch: b, err: err})
+	}
+}
+
+// Started implements Receiver.
+func (b *batch) Started(cancel func(leaf string)) { b.cancelLeaf.Store(&cancel) }
+
+// Result implements Receiver.
+func (b *batch) Result(r *wire.LeafResult) { b.run.emit(searchEvent{batch: b, result: r}) }
+
+// cancel ends one leaf call whose answer is no longer needed.
+func (b *batch) cancel(leaf string) {
+	if cancel := b.cancelLeaf.Load(); cancel != nil {
+		(*cancel)(leaf)
+	}
+}
--- a/internal/entry/pick_holder.go
+++ b/internal/entry/pick_holder.go
@@ -3,36 +3,10 @@
 import (
 	"math/rand/v2"
 	"slices"
-)
+	"time"
 
-// pickHolder returns a holder of the leaf that is not in tried. It draws among
-// the owners that serve, in proportion to their slots; deputies and hosts that
-// are down go last.
-func pickHolder(router Router, leaf string, tried []string) (Host, bool) {
-	var best Host
-	found := false
-	bestRank := 0
-	weight := 0
-	for _, host := range router.Holders(leaf) {
-		if slices.Contains(tried, host.Name) {
-			continue
-		}
-		rank := holderRank(router, host)
-		switch {
-		case !found || rank < bestRank:
-			best = host
-			bestRank = rank
-			weight = host.Slots
-			found = true
-		case rank == bestRank:
-			weight += host.Slots
-			if rand.IntN(max(weight, 1)) < host.Slots {
-				best = host
-			}
-		}
-	}
-	return best, found
-}
+	"github.com/redwingshelf/redwingshelf/internal/replica"
+)
 
 // The order in which holders are asked.
 const (
@@ -51,3 +25,34 @@
 		return rankOwner
 	}
 }
+
+// pickHolder needs mu. It returns a holder of the leaf that is not in tried, and
+// the expected time in nanoseconds of a call through it. Owners that serve go
+// first, then deputies, then hosts that are down; among equals the shortest
+// expected time decides, and the first holder of a leaf in its cold start.
+func (s *serviceState) pickHolder(now time.Duration, router Router, leaf string, tried []string) (Host, float64, bool) {
+	var best Host
+	var least float64
+	found := false
+	bestRank := 0
+	warm := s.warm[leaf]
+	for _, host := range router.Holders(leaf) {
+		if slices.Contains(tried, host.Name) {
+			continue
+		}
+		rank := holderRank(router, host)
+		expected := replica.Expected(now, s.stats(leaf, host.Name), host.Slots) * (1 + tieBreak*rand.Float64())
+		better := !found || rank < bestRank || rank == bestRank && warm && expected < least
+		if better {
+			best = host
+			least = expected
+			bestRank = rank
+			found = true
+		}
+	}
+	return best, least, found
+}
+
+// tieBreak is the greatest share by which an expected time is lengthened at
+// random, so that equal holders are chosen alike.
+const tieBreak = 0.05
--- /dev/null
+++ b/internal/entry/search_retry.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/snapshot"
+)
+
+// failLeaf goes on after a call without an answer: with another holder of the
+// leaf, another leaf, another snapshot, or without that part.
+func (run *searchRun) failLeaf(leaf string, k kind.Kind) {
+	call := run.calls[leaf]
+	if call == nil || call.ended {
+		return
+	}
+	run.collector.Fail(leaf, k)
+	if holderMatters(k) {
+		if host, found := run.nextHolder(call); found {
+			run.collector.Expect(leaf, call.choice.Shard, call.choice.Range)
+			run.send(host, []string{leaf})
+			return
+		}
+	}
+	call.ended = true
+	if call.part.pending() || !run.mayRetry(k) {
+		return
+	}
+	run.state.mu.Lock()
+	action := run.query.Failed(run.now(), call.choice, k, answerMargin)
+	run.state.mu.Unlock()
+	switch action.Step {
+	case snapshot.StepTry:
+		run.try(action.Leaf, call.part)
+	case snapshot.StepRestart:
+		run.begin(action.Plan)
+	}
+}
+
+// pending reports whether another call of the part may still be answered.
+func (p *partCalls) pending() bool {
+	for _, call := range p.calls {
+		if !call.ended {
+			return true
+		}
+	}
+	return p.answered
+}
+
+// mayRetry decides whether a failure is followed by a call of another leaf. A
+// failure that may have cost a target work is followed only within the budget.
+func (run *searchRun) mayRetry(k kind.Kind) bool {
+	if !k.Answer().TierMayRetry {
+		return false
+	}
+	if !loadsTarget(k) {
+		return true
+	}
+	run.state.mu.Lock()
+	defer run.state.mu.Unlock()
+	return run.state.retries.Take(run.now())
+}
+
+// try calls another leaf for a part.
+func (run *searchRun) try(choice snapshot.Choice, part *partCalls) {
+	call := run.add(choice, part)
+	host, found := run.nextHolder(call)
+	if !found {
+		run.failLeaf(choice.Leaf, kind.Unavailable)
+		return
+	}
+	run.send(host, []string{choice.Leaf})
+}
+
+// holderMatters reports whether another holder of the same leaf may succeed
+// where one has failed.
+func holderMatters(k kind.Kind) bool {
+	switch k {
+	case kind.NotHolder, kind.LeafCold, kind.Unavailable, kind.Stopping:
+		return true
+	default:
+		return false
+	}
+}
+
+// loadsTarget reports whether calls that fail with k cost targets work or show
+// that they are near their limits.
+func loadsTarget(k kind.Kind) bool {
+	switch k {
+	case kind.NotHolder, kind.LeafCold, kind.Unavailable, kind.Stopping, kind.LeafLeaving, kind.SnapshotNotHeld:
+		return false
+	default:
+		return true
+	}
+}
--- a/internal/entry/service_state.go
+++ b/internal/entry/service_state.go
@@ -1,23 +1,52 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/redwingshelf/redwingshelf/internal/budget"
 	"github.com/redwingshelf/redwingshelf/internal/document"
+	"github.com/redwingshelf/redwingshelf/internal/hedge"
+	"github.com/redwingshelf/redwingshelf/internal/replica"
 	"github.com/redwingshelf/redwingshelf/internal/snapshot"
 	"github.com/redwingshelf/redwingshelf/internal/wire"
 )
 
+const (
+	// busyWeight is the weight of a new sample in the utilization of a service.
+	busyWeight = 0.02
+	// coldPenalty is added to the cost of a leaf that is not known to be warm.
+	coldPenalty = float64(time.Hour)
+	// probeShare is the share of plans that prefer a leaf in its cold start, so
+	// that it becomes warm.
+	probeShare = 0.1
+	// retriesPerSecond are granted to a service with little traffic.
+	retriesPerSecond = 1
+)
+
+// endpoint is a leaf as called through one holder.
+type endpoint struct {
+	leaf string
+	host string
+}
+
 // serviceState is what this entry knows of the leaves of one service.
 type serviceState struct {
 	// mu guards the fields below.
-	mu     sync.Mutex
-	know   *snapshot.Knowledge
-	index  *document.Index
-	shards []snapshot.Shard
+	mu        sync.Mutex
+	know      *snapshot.Knowledge
+	index     *document.Index
+	shards    []snapshot.Shard
+	policy    document.Policy
+	hedges    *hedge.Service
+	retries   *budget.Budget
+	endpoints map[endpoint]*replica.Stats
+	warm      map[string]bool
+	// busy is the moving average of the share of slots in use, 0 to 1.
+	busy float64
 }
 
 // serviceStates holds the state of every service, each under its own lock.
@@ -33,19 +62,27 @@
 	key := service.Customer + "/" + service.Name
 	value, found := s.all.Load(key)
 	if !found {
-		value, _ = s.all.LoadOrStore(key, &serviceState{know: snapshot.NewKnowledge(snapshot.DefaultHoldTTL)})
+		value, _ = s.all.LoadOrStore(key, newServiceState())
 	}
 	state := value.(*serviceState)
 	state.mu.Lock()
 	defer state.mu.Unlock()
 	if state.index != index {
-		state.load(service, index)
+		state.load(s.now(), service, index)
 	}
 	return state
 }
 
+func newServiceState() *serviceState {
+	return &serviceState{
+		know:      snapshot.NewKnowledge(snapshot.DefaultHoldTTL),
+		endpoints: map[endpoint]*replica.Stats{},
+		warm:      map[string]bool{},
+	}
+}
+
 // load needs mu.
-func (s *serviceState) load(service *document.ServiceEntry, index *document.Index) {
+func (s *serviceState) load(now time.Duration, service *document.ServiceEntry, index *document.Index) {
 	s.index = index
 	s.shards = make([]snapshot.Shard, len(service.Shards))
 	known := map[string]bool{}
@@ -58,6 +95,78 @@
 		}
 	}
 	s.know.Retain(func(leaf string) bool { return known[leaf] })
+	for e := range s.endpoints {
+		if !known[e.leaf] {
+			delete(s.endpoints, e)
+			delete(s.warm, e.leaf)
+		}
+	}
+	s.loadPolicy(now, service)
+}
+
+// loadPolicy needs mu.
+func (s *serviceState) loadPolicy(now time.Duration, service *document.ServiceEntry) {
+	policy := service.Policy
+	same := s.policy.Hedge == policy.Hedge && s.policy.HedgeBudget == policy.HedgeBudget &&
+		s.policy.Retry == policy.Retry && s.policy.RetryBudget == policy.RetryBudget
+	s.policy = policy
+	if same && s.hedges != nil {
+		return
+	}
+	s.hedges = hedge.New(now, hedge.Config{
+		Off:       policy.Hedge == document.HedgeOff,
+		Budget:    policy.HedgeBudget,
+		MaxHedges: maxHedges(service),
+	})
+	s.retries = budget.New(now, budget.Config{
+		Share:     policy.RetryBudget,
+		PerSecond: retriesPerSecond,
+		Unbounded: policy.Retry == document.RetryUnbounded,
+	})
+}
+
+// maxHedges returns the greatest number of hedges of one leaf call: one less
+// than the replicas of the shard that has the fewest.
+func maxHedges(service *document.ServiceEntry) int {
+	fewest := hedge.DefaultMaxHedges + 1
+	for _, shard := range service.Shards {
+		fewest = min(fewest, len(shard.Replicas))
+	}
+	return max(fewest-1, 1)
+}
+
+// stats needs mu.
+func (s *serviceState) stats(leaf, host string) *replica.Stats {
+	key := endpoint{leaf: leaf, host: host}
+	stats := s.endpoints[key]
+	if stats == nil {
+		stats = &replica.Stats{}
+		s.endpoints[key] = stats
+	}
+	return stats
+}
+
+// cost returns the function that prefers the leaves with the shortest expected
+// time. It must be called under mu.
+func (s *serviceState) cost(now time.Duration, router Router, index *document.Index) snapshot.CostFunc {
+	probe := rand.Float64() < probeShare
+	return func(leaf string) (float64, bool) {
+		entry := index.Leaf(index.LeafID(leaf))
+		if entry == nil || !entry.AcceptsWork() {
+			return 0, false
+		}
+		host, expected, found := s.pickHolder(now, router, leaf, nil)
+		if !found {
+			return 0, false
+		}
+		if s.warm[leaf] {
+			return expected, true
+		}
+		if probe && s.stats(leaf, host.Name).Outstanding() < entry.Service.Limits.ColdSlots {
+			return rand.Float64(), true
+		}
+		return expected + coldPenalty, true
+	}
 }
 
 // observe needs mu. It records what a leaf has said of itself.
@@ -71,14 +180,19 @@
 			ID:    snapshotID(r.Snapshot),
 			Range: snapshot.Range{From: r.From, To: r.To},
 		}
+		s.warm[r.Leaf] = r.Warm
+		s.busy += busyWeight * (float64(r.Busy)/100 - s.busy)
 	}
 	s.know.Observe(now, report)
 }
 
 func newReport(leaf, incarnation string, held []wire.HeldSnapshot) snapshot.Report {
-	report := snapshot.Report{Leaf: leaf, Incarnation: incarnation, Holds: []snapshot.ID{}}
-	for _, h := range held {
-		report.Holds = append(report.Holds, snapshotID(h.Snapshot))
+	report := snapshot.Report{Leaf: leaf, Incarnation: incarnation, Holds: make([]snapshot.Held, len(held))}
+	for i, h := range held {
+		report.Holds[i] = snapshot.Held{
+			ID:    snapshotID(h.Snapshot),
+			Range: snapshot.Range{From: h.From, To: h.To},
+		}
 	}
 	return report
 }
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/redwingshelf/redwingshelf/internal/kind"
@@ -30,13 +31,7 @@
 	}
 	attempt := 0
 	for _, leaf := range s.leaves(r) {
-		var tried []string
-		for {
-			host, found := pickHolder(s.router, leaf, tried)
-			if !found {
-				break
-			}
-			tried = append(tried, host.Name)
+		for _, host := range s.hosts(leaf) {
 			attempt++
 			var answer *Answer
 			answer, err = s.try(ctx, r, host, leaf, attempt)
@@ -54,6 +49,15 @@
 	return nil, err
 }
 
+// hosts returns the holders of a leaf, those that are down last.
+func (s *Submitter) hosts(leaf string) []Host {
+	hosts := slices.Clone(s.router.Holders(leaf))
+	slices.SortStableFunc(hosts, func(a, b Host) int {
+		return holderRank(s.router, a) - holderRank(s.router, b)
+	})
+	return hosts
+}
+
 // leaves returns the replicas of the request's shard that accept work.
 func (s *Submitter) leaves(r *Request) []string {
 	shards := r.Target.Shards
@@ -83,8 +87,9 @@
 		Body:         r.Body,
 		Leaves:       []string{leaf},
 	}
-	var result *wire.LeafResult
-	err := s.holders.Scatter(ctx, host, m, func(got *wire.LeafResult) { result = got })
+	var only onlyResult
+	err := s.holders.Scatter(ctx, host, m, &only)
+	result := only.result
 	if result == nil && err == nil {
 		err = kind.Errorf(kind.OutcomeUnknown, "holder %q ended without a result", host.Name)
 	}
@@ -100,6 +105,17 @@
 	return &Answer{Leaf: leaf, Body: result.Body}, nil
 }
 
+// onlyResult receives the result of a single leaf call.
+type onlyResult struct {
+	result *wire.LeafResult
+}
+
+// Started implements Receiver.
+func (o *onlyResult) Started(func(leaf string)) {}
+
+// Result implements Receiver.
+func (o *onlyResult) Result(r *wire.LeafResult) { o.result = r }
+
 // submitError turns every failure that may have run into OutcomeUnknown.
 func submitError(err error) error {
 	if notRun(err) {
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -98,12 +98,21 @@
 	Down(host string) bool
 }
 
+// Receiver takes the results of a Scatter. Its methods are called by one
+// goroutine at a time.
+type Receiver interface {
+	// Started passes the function that cancels one leaf call. It may be called
+	// at any time from any goroutine.
+	Started(cancel func(leaf string))
+	// Result passes one result.
+	Result(r *wire.LeafResult)
+}
+
 // Holders reaches the nodes that hold shares, this node included.
 type Holders interface {
-	// Scatter sends a message to a holder and passes each result to reply, which
-	// is called by one goroutine at a time. It returns when all results have
+	// Scatter sends a message to a holder. It returns when all results have
 	// arrived, or with the error that ended it early. ctx cancels the calls.
-	Scatter(ctx context.Context, host Host, m *wire.Scatter, reply func(*wire.LeafResult)) error
+	Scatter(ctx context.Context, host Host, m *wire.Scatter, to Receiver) error
 	// Held asks a holder which snapshots its leaves hold.
 	Held(ctx context.Context, host Host, m *wire.Held) (*wire.HeldResult, error)
 }
--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -15,6 +15,8 @@
 // not answered no longer runs it.
 const unsettledGuard = 100 * time.Millisecond
 
+const percent = 100
+
 // exchange makes the call of an admitted request and releases its slot once the
 // leaf no longer runs it.
 func (l *leaf) exchange(c *Call, id uint64, permit Permit) wire.LeafResult {
@@ -39,8 +41,10 @@
 	if err != nil {
 		return l.fail(c, id, epoch, deadline, err)
 	}
-	l.succeed(id, epoch, latency, answer)
+	warm, busy := l.succeed(id, epoch, latency, answer)
 	return wire.LeafResult{
+		Warm:        warm,
+		Busy:        busy,
 		RequestID:   c.RequestID,
 		Leaf:        c.Leaf,
 		Run:         string(kind.RunYes),
@@ -59,7 +63,7 @@
 	return l.tracker.Epoch(l.holder.now())
 }
 
-func (l *leaf) succeed(id uint64, epoch warmup.Epoch, latency time.Duration, answer *target.Answer) {
+func (l *leaf) succeed(id uint64, epoch warmup.Epoch, latency time.Duration, answer *target.Answer) (warm bool, busy uint8) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.holder.now()
@@ -75,6 +79,13 @@
 	l.dispatch(l.scheduler.SetSlots(now, l.tracker.Bound(now)))
 	l.dispatch(l.scheduler.Done(now, id))
 	l.armExpiry(now)
+	return l.tracker.State(now) == warmup.Warm, l.busy()
+}
+
+// busy needs mu. It returns the share of slots in use, in percent.
+func (l *leaf) busy() uint8 {
+	slots := max(l.scheduler.Slots(), 1)
+	return uint8(min(l.scheduler.Running()*percent/slots, percent))
 }
 
 // reasons maps failures to what they tell of the leaf's warm-up.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/redwingshelf/redwingshelf/internal/entry"
+	"github.com/redwingshelf/redwingshelf/internal/holder"
 	"github.com/redwingshelf/redwingshelf/internal/kind"
 	"github.com/redwingshelf/redwingshelf/internal/peer"
 	"github.com/redwingshelf/redwingshelf/internal/wire"
@@ -15,9 +16,11 @@
 }
 
 // Scatter implements entry.Holders.
-func (h *holders) Scatter(ctx context.Context, host entry.Host, m *wire.Scatter, reply func(*wire.LeafResult)) error {
+func (h *holders) Scatter(ctx context.Context, host entry.Host, m *wire.Scatter, to entry.Receiver) error {
 	if host.Address == "" {
-		h.node.holder.Scatter(ctx, m, reply)
+		cancels := new(holder.Cancels)
+		to.Started(cancels.Cancel)
+		h.node.holder.Scatter(ctx, m, cancels, to.Result)
 		return nil
 	}
 	stream, err := h.node.pool.Call(ctx, host.Address, wire.TypeScatter, m, len(m.Leaves))
@@ -25,6 +28,7 @@
 		return err
 	}
 	defer stream.Close()
+	to.Started(func(leaf string) { stream.Control(wire.TypeCancelLeaf, &wire.CancelLeaf{Leaf: leaf}) })
 	for {
 		frame, ok, err := stream.Recv(ctx)
 		if err != nil {
@@ -37,7 +41,7 @@
 		if err := wire.Decode(frame.Payload, result); err != nil {
 			return err
 		}
-		reply(result)
+		to.Result(result)
 	}
 }
 
@@ -105,7 +109,14 @@
 	if err := wire.Decode(frame.Payload, m); err != nil {
 		return kind.Errorf(kind.BadRequest, "%w", err)
 	}
-	p.node.holder.Scatter(ctx, m, func(result *wire.LeafResult) {
+	cancels := new(holder.Cancels)
+	reply.OnControl(func(control wire.Frame) {
+		var c wire.CancelLeaf
+		if wire.Decode(control.Payload, &c) == nil {
+			cancels.Cancel(c.Leaf)
+		}
+	})
+	p.node.holder.Scatter(ctx, m, cancels, func(result *wire.LeafResult) {
 		_ = reply.Send(ctx, wire.TypeLeafResult, result)
 	})
 	return nil
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -27,6 +27,26 @@
 type Reply struct {
 	link   *link
 	stream uint64
+	// mu guards control.
+	mu      sync.Mutex
+	control func(wire.Frame)
+}
+
+// OnControl sets the function that takes the messages which the caller sends
+// during the call. It must not block.
+func (r *Reply) OnControl(f func(wire.Frame)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.control = f
+}
+
+func (r *Reply) deliver(frame wire.Frame) {
+	r.mu.Lock()
+	f := r.control
+	r.mu.Unlock()
+	if f != nil {
+		f(frame)
+	}
 }
 
 // Send queues one answer frame.
@@ -58,7 +78,13 @@
 	wg     sync.WaitGroup
 	// mu guards calls.
 	mu    sync.Mutex
-	calls map[uint64]context.CancelFunc
+	calls map[uint64]runningCall
+}
+
+// runningCall is a call that the handler serves.
+type runningCall struct {
+	cancel context.CancelFunc
+	reply  *Reply
 }
 
 // NewServer returns a server for an open listener.
@@ -84,7 +110,7 @@
 			}
 			return fmt.Errorf("accept a peer: %w", err)
 		}
-		l := &serverLink{link: newLink(conn, s.hello), server: s, calls: map[uint64]context.CancelFunc{}}
+		l := &serverLink{link: newLink(conn, s.hello), server: s, calls: map[uint64]runningCall{}}
 		if !s.add(l) {
 			l.close()
 			return nil
@@ -145,6 +171,8 @@
 	switch {
 	case frame.Type == wire.TypeCancel:
 		l.cancelCall(frame.Stream)
+	case frame.Type == wire.TypeCancelLeaf:
+		l.control(frame)
 	case frame.Stream == 0:
 		l.server.handler.HandleMessage(l.peer, frame)
 	default:
@@ -155,7 +183,7 @@
 func (l *serverLink) startCall(ctx context.Context, frame wire.Frame) {
 	callCtx, cancel := context.WithCancel(ctx)
 	reply := &Reply{link: l.link, stream: frame.Stream}
-	if err := l.register(frame.Stream, cancel); err != nil {
+	if err := l.register(frame.Stream, runningCall{cancel: cancel, reply: reply}); err != nil {
 		cancel()
 		l.finish(ctx, reply, err)
 		return
@@ -169,7 +197,7 @@
 
 // register records a running call. A stream number that is already in use is a
 // protocol error and closes the link.
-func (l *serverLink) register(stream uint64, cancel context.CancelFunc) error {
+func (l *serverLink) register(stream uint64, call runningCall) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, duplicate := l.calls[stream]; duplicate {
@@ -179,17 +207,26 @@
 	if len(l.calls) >= maxCallsPerLink {
 		return kind.Errorf(kind.Overloaded, "link already runs %d calls", maxCallsPerLink)
 	}
-	l.calls[stream] = cancel
+	l.calls[stream] = call
 	return nil
 }
 
 func (l *serverLink) cancelCall(stream uint64) {
 	l.mu.Lock()
-	cancel := l.calls[stream]
+	call, running := l.calls[stream]
 	delete(l.calls, stream)
 	l.mu.Unlock()
-	if cancel != nil {
-		cancel()
+	if running {
+		call.cancel()
+	}
+}
+
+func (l *serverLink) control(frame wire.Frame) {
+	l.mu.Lock()
+	call, running := l.calls[frame.Stream]
+	l.mu.Unlock()
+	if running {
+		call.reply.deliver(frame)
 	}
 }
 
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -42,6 +42,14 @@
 	s.end(context.Canceled)
 }
 
+// Control sends a message to the running call at the other end. It may be lost.
+func (s *Stream) Control(t wire.Type, message any) {
+	payload, err := wire.Encode(message)
+	if err == nil {
+		s.link.offer(wire.Frame{Type: t, Stream: s.id, Payload: payload})
+	}
+}
+
 func (s *Stream) error() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/replica/picker.go
+++ b/internal/replica/picker.go
@@ -115,9 +115,14 @@
 	return best
 }
 
-// expected estimates the time of one more call, lengthened by recent failures.
 func expected(now time.Duration, c *Candidate) float64 {
-	latency := max(c.Stats.Latency(now), minLatency)
-	queue := float64(c.Stats.outstanding+1) / float64(max(c.Slots, 1))
-	return float64(latency) * queue * (1 + c.Stats.recentFailures(now))
+	return Expected(now, c.Stats, c.Slots)
+}
+
+// Expected estimates the time in nanoseconds of one more call to a replica with
+// the given number of slots, lengthened by recent failures.
+func Expected(now time.Duration, stats *Stats, slots int) float64 {
+	latency := max(stats.Latency(now), minLatency)
+	queue := float64(stats.outstanding+1) / float64(max(slots, 1))
+	return float64(latency) * queue * (1 + stats.recentFailures(now))
 }
--- a/internal/snapshot/fleet_test.go
+++ b/internal/snapshot/fleet_test.go
@@ -84,7 +84,7 @@
 }
 
 func (f *fleet) report(leaf string) Report {
-	return Report{Leaf: leaf, Incarnation: "1", Holds: f.holds[leaf]}
+	return Report{Leaf: leaf, Incarnation: "1", Holds: heldOf(f.holds[leaf]...)}
 }
 
 // query runs one query and returns what it covered of its last snapshot.
--- a/internal/snapshot/knowledge.go
+++ b/internal/snapshot/knowledge.go
@@ -38,9 +38,9 @@
 	Answered Held
 	// Refused is the snapshot that the leaf said it does not hold, if any.
 	Refused ID
-	// Holds lists the snapshots that the leaf holds, the newest first. A nil
-	// list says nothing about the snapshots held.
-	Holds []ID
+	// Holds lists the snapshots that the leaf holds, the newest first, with their
+	// ranges where known. A nil list says nothing about the snapshots held.
+	Holds []Held
 }
 
 // leafState is what is known of one leaf.
@@ -178,32 +178,41 @@
 	return state
 }
 
-// replaceHolds takes over a hold list and keeps the ranges already known.
-func (l *leafState) replaceHolds(ids []ID) {
-	if len(ids) > maxHolds {
-		ids = ids[:maxHolds]
+// replaceHolds takes over a hold list and keeps the ranges already known where
+// the list has none.
+func (l *leafState) replaceHolds(list []Held) {
+	if len(list) > maxHolds {
+		list = list[:maxHolds]
 	}
-	if l.holdsExactly(ids) {
+	if l.holdsExactly(list) {
 		return
 	}
-	holds := make([]Held, 0, len(ids))
-	for _, id := range ids {
-		held := Held{ID: id}
-		if known := l.find(id); known != nil {
-			held.Range = known.Range
+	holds := make([]Held, 0, len(list))
+	for _, held := range list {
+		if !held.Range.Valid() {
+			held.Range = l.knownRange(held.ID)
 		}
 		holds = append(holds, held)
 	}
 	l.holds = holds
 }
 
-// holdsExactly reports whether ids is the list that is already known.
-func (l *leafState) holdsExactly(ids []ID) bool {
-	if len(ids) != len(l.holds) {
+// knownRange returns the range of a snapshot, zero if it is not known.
+func (l *leafState) knownRange(id ID) Range {
+	if known := l.find(id); known != nil {
+		return known.Range
+	}
+	return Range{}
+}
+
+// holdsExactly reports whether the list adds nothing to what is known.
+func (l *leafState) holdsExactly(list []Held) bool {
+	if len(list) != len(l.holds) {
 		return false
 	}
-	for i, id := range ids {
-		if id != l.holds[i].ID {
+	for i, held := range list {
+		known := l.holds[i]
+		if held.ID != known.ID || held.Range.Valid() && held.Range != known.Range {
 			return false
 		}
 	}
--- a/internal/snapshot/query.go
+++ b/internal/snapshot/query.go
@@ -90,6 +90,19 @@
 	return q.restartIfBetter(now)
 }
 
+// Hedge returns another leaf that may cover the part of choice, and adds it to
+// the plan. It returns false if there is none.
+func (q *Query) Hedge(now time.Duration, choice Choice) (Choice, bool) {
+	if !choice.Snapshot.Same(q.plan.Snapshot) {
+		return Choice{}, false
+	}
+	other, ok := q.alternative(now, choice)
+	if ok {
+		q.plan.Choices = append(q.plan.Choices, other)
+	}
+	return other, ok
+}
+
 // markFailed records that leaf is not called again.
 func (q *Query) markFailed(leaf string, why kind.Kind) {
 	if q.failed == nil {
--- a/internal/snapshot/query_test.go
+++ b/internal/snapshot/query_test.go
@@ -48,10 +48,22 @@
 func observe(k *Knowledge, leaf string, answered ID, holds ...ID) {
 	k.Observe(0, Report{
 		Leaf: leaf, Incarnation: "1",
-		Answered: Held{ID: answered, Range: halfOf(leaf[:1])}, Holds: holds,
+		Answered: Held{ID: answered, Range: halfOf(leaf[:1])}, Holds: heldOf(holds...),
 	})
 }
 
+// heldOf returns a hold list without ranges; nil stays nil.
+func heldOf(ids ...ID) []Held {
+	if ids == nil {
+		return nil
+	}
+	held := make([]Held, len(ids))
+	for i, id := range ids {
+		held[i].ID = id
+	}
+	return held
+}
+
 func leavesOf(choices []Choice) []string {
 	var leaves []string
 	for _, c := range choices {
@@ -99,7 +111,7 @@
 		{"repartition takes each tile once", repartitioned, 0, free, s2, []string{"a1", "a2", "b1"}},
 		{"new incarnation", func(k *Knowledge) {
 			both(k)
-			k.Observe(0, Report{Leaf: "a1", Incarnation: "2", Holds: []ID{s1}})
+			k.Observe(0, Report{Leaf: "a1", Incarnation: "2", Holds: heldOf(s1)})
 			observe(k, "a1", s2, s2) // late report of the replaced incarnation
 		}, 0, free, s1, []string{"a1", "b1"}},
 		{"refusal drops the snapshot", func(k *Knowledge) {
@@ -124,7 +136,7 @@
 		observe(k, "b2", s1, s2, s1)
 	}
 	refuse := func(k *Knowledge, leaf string, holds ...ID) {
-		k.Observe(0, Report{Leaf: leaf, Incarnation: "1", Refused: s2, Holds: holds})
+		k.Observe(0, Report{Leaf: leaf, Incarnation: "1", Refused: s2, Holds: heldOf(holds...)})
 	}
 	for _, tc := range []struct {
 		name  string
@@ -206,7 +218,7 @@
 		r := Range{From: uint32(i * KeySpace / leaves), To: uint32((i + 1) * KeySpace / leaves)}
 		shards[i] = Shard{Name: name, Leaves: []string{name + "-a", name + "-b", name + "-c"}}
 		for _, leaf := range shards[i].Leaves {
-			k.Observe(0, Report{Leaf: leaf, Answered: Held{s2, r}, Holds: []ID{s3, s2, s1}})
+			k.Observe(0, Report{Leaf: leaf, Answered: Held{s2, r}, Holds: heldOf(s3, s2, s1)})
 		}
 	}
 	return shards
@@ -229,7 +241,7 @@
 func BenchmarkObserve(b *testing.B) {
 	k := NewKnowledge(DefaultHoldTTL)
 	benchmarkShards(490, k)
-	report := Report{Leaf: "shard-7-b", Answered: Held{s2, Range{1, 2}}, Holds: []ID{s3, s2, s1}}
+	report := Report{Leaf: "shard-7-b", Answered: Held{s2, Range{1, 2}}, Holds: heldOf(s3, s2, s1)}
 	b.ReportAllocs()
 	for b.Loop() {
 		k.Observe(0, report)
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -31,6 +31,7 @@
 const (
 	TypeHello Type = iota + 1
 	TypeCancel
+	TypeCancelLeaf
 	TypeEnd
 	TypeError
 	TypeScatter
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -43,6 +43,10 @@
 	From        uint32
 	To          uint32
 	Body        []byte
+	// Warm reports that the leaf is not in a cold start.
+	Warm bool
+	// Busy is the share of the holder's slots of the leaf in use, in percent.
+	Busy uint8
 	// Died reports that the leaf's process ended while the call was in flight.
 	Died bool
 }
@@ -110,3 +114,8 @@
 	Incarnation uint64
 	Stopping    bool
 }
+
+// CancelLeaf cancels one leaf call of a running Scatter.
+type CancelLeaf struct {
+	Leaf string
+}
