Let idle peer links cost little and count bytes by message type

Each link owned a queue of 4096 frames and two buffers of 64 KiB, about 288 KiB, and was never closed; gossip reaches every host in time, so 600 nodes would have cost 337 MiB a node against a budget of 32 MB (worked out, not measured). The queue grows with what it holds, writers borrow a buffer while they write, and a link without traffic for 30 s is closed. Counters of messages and bytes by type show what control costs.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,7 +90,8 @@
 	}
 	n.scope, n.metrics, n.closer = newScope(s)
 	hello := wire.Hello{Host: s.Name, Incarnation: n.incarnation}
-	n.pool = peer.NewPool(hello, &processWatch{node: n})
+	traffic := peer.NewTraffic(n.scope.SubScope("peer"))
+	n.pool = peer.NewPool(hello, traffic, &processWatch{node: n})
 	n.fleet = n.newFleet()
 	n.permits, err = n.newPermits()
 	if err != nil {
@@ -100,7 +101,7 @@
 	n.holder = holder.New(n.permits, nil, n.targets, n.scope)
 	n.self = n.process()
 	n.tickets = entry.NewTickets(n.self, &holders{node: n})
-	n.peers = peer.NewServer(open.peer, hello, &peerHandler{node: n})
+	n.peers = peer.NewServer(open.peer, hello, traffic, &peerHandler{node: n})
 	n.config = n.newConfigController()
 	n.hosts = n.newHostsController()
 	n.callers = n.newCallerServer()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -9,13 +9,14 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/redwingshelf/redwingshelf/internal/wire"
 )
 
 const (
-	sendQueueFrames = 4096
+	readBufferSize  = 4 << 10
 	writeBufferSize = 64 << 10
 	writeTimeout    = 5 * time.Second
 	helloTimeout    = 2 * time.Second
@@ -31,25 +32,36 @@
 	ErrOverflow = errors.New("stream received too many frames")
 )
 
+// writers holds buffers that links borrow while they write.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferSize) }}
+
 // link is one TCP connection with its reader and writer. It is used by both
 // ends: the dialling end opens streams and the accepting end answers them.
 type link struct {
-	conn  net.Conn
-	hello wire.Hello
-	out   chan wire.Frame
-	done  chan struct{}
-	once  sync.Once
+	conn    net.Conn
+	hello   wire.Hello
+	traffic *Traffic
+	queue   *queue
+	done    chan struct{}
+	once    sync.Once
+	// used is the time of the last frame, in nanoseconds since 1970.
+	used atomic.Int64
 	// peer is the remote end's Hello, set before the link is used.
 	peer wire.Hello
 }
 
-func newLink(conn net.Conn, hello wire.Hello) *link {
-	return &link{
-		conn:  conn,
-		hello: hello,
-		out:   make(chan wire.Frame, sendQueueFrames),
-		done:  make(chan struct{}),
-	}
+func newLink(conn net.Conn, hello wire.Hello, traffic *Traffic) *link {
+	done := make(chan struct{})
+	l := &link{conn: conn, hello: hello, traffic: traffic, queue: newQueue(done), done: done}
+	l.touch()
+	return l
+}
+
+func (l *link) touch() { l.used.Store(time.Now().UnixNano()) }
+
+// idleFor returns the time since the last frame.
+func (l *link) idleFor() time.Duration {
+	return time.Since(time.Unix(0, l.used.Load()))
 }
 
 // handshake exchanges Hello frames.
@@ -61,19 +73,15 @@
 	if err != nil {
 		return err
 	}
-	w := bufio.NewWriter(l.conn)
-	if err := wire.Write(w, wire.Frame{Type: wire.TypeHello, Payload: payload}); err != nil {
+	if err := l.write([]wire.Frame{{Type: wire.TypeHello, Payload: payload}}); err != nil {
 		return err
 	}
-	if err := w.Flush(); err != nil {
-		return err
-	}
-	frame, err := wire.Read(r)
+	frame, err := l.read(r)
 	if err != nil {
 		return err
 	}
 	if frame.Type != wire.TypeHello {
-		return fmt.Errorf("first frame has type %d instead of hello", frame.Type)
+		return fmt.Errorf("first frame has type %s instead of hello", frame.Type)
 	}
 	if err := wire.Decode(frame.Payload, &l.peer); err != nil {
 		return err
@@ -89,36 +97,50 @@
 	})
 }
 
+func (l *link) read(r *bufio.Reader) (wire.Frame, error) {
+	frame, err := wire.Read(r)
+	if err == nil {
+		l.touch()
+		l.traffic.countReceived(frame)
+	}
+	return frame, err
+}
+
 // writeLoop writes queued frames, flushing whenever the queue is empty.
 func (l *link) writeLoop() {
 	defer l.close()
-	w := bufio.NewWriterSize(l.conn, writeBufferSize)
 	for {
 		select {
 		case <-l.done:
 			return
-		case frame := <-l.out:
-			if err := l.writeBatch(w, frame); err != nil {
+		case <-l.queue.ready:
+			if err := l.writeQueued(); err != nil {
 				return
 			}
 		}
 	}
 }
 
-func (l *link) writeBatch(w *bufio.Writer, frame wire.Frame) error {
+func (l *link) writeQueued() error {
 	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	for {
+	return l.write(l.queue.take())
+}
+
+func (l *link) write(frames []wire.Frame) error {
+	w := writers.Get().(*bufio.Writer)
+	defer writers.Put(w)
+	w.Reset(l.conn)
+	defer w.Reset(nil)
+	for _, frame := range frames {
 		if err := wire.Write(w, frame); err != nil {
 			return err
 		}
-		select {
-		case frame = <-l.out:
-		default:
-			return w.Flush()
-		}
+		l.traffic.countSent(frame)
 	}
+	l.touch()
+	return w.Flush()
 }
 
 // enqueue queues a frame, waiting for room until ctx ends.
@@ -126,29 +148,8 @@
 	if len(frame.Payload) > wire.MaxPayload {
 		return fmt.Errorf("%w: %w", ErrNotSent, wire.ErrTooLarge)
 	}
-	select {
-	case <-l.done:
-		return ErrNotSent
-	default:
-	}
-	select {
-	case l.out <- frame:
-		return nil
-	case <-l.done:
-		return ErrNotSent
-	case <-ctx.Done():
-		return fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
-	}
+	return l.queue.push(ctx, frame)
 }
 
 // offer queues a frame if there is room.
-func (l *link) offer(frame wire.Frame) bool {
-	select {
-	case <-l.done:
-		return false
-	case l.out <- frame:
-		return true
-	default:
-		return false
-	}
-}
+func (l *link) offer(frame wire.Frame) bool { return l.queue.offer(frame) }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	dialTimeout   = 500 * time.Millisecond
-	redialBackoff = 50 * time.Millisecond
+	// idleAfter is the time without a frame after which a link is closed.
+	idleAfter         = 30 * time.Second
+	idleCheckInterval = 5 * time.Second
+	dialTimeout       = 500 * time.Millisecond
+	redialBackoff     = 50 * time.Millisecond
 )
 
 // Observer is told about dials.
@@ -31,6 +34,7 @@
 // Pool keeps one outgoing link for each peer address.
 type Pool struct {
 	hello    wire.Hello
+	traffic  *Traffic
 	observer Observer
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -62,9 +66,59 @@
 }
 
 // NewPool returns a pool that introduces itself with hello. observer may be nil.
-func NewPool(hello wire.Hello, observer Observer) *Pool {
+func NewPool(hello wire.Hello, traffic *Traffic, observer Observer) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Pool{hello: hello, observer: observer, ctx: ctx, cancel: cancel, peers: map[string]*remote{}}
+	p := &Pool{
+		hello:    hello,
+		traffic:  traffic,
+		observer: observer,
+		ctx:      ctx,
+		cancel:   cancel,
+		peers:    map[string]*remote{},
+	}
+	p.wg.Go(p.closeIdleLoop)
+	return p
+}
+
+// closeIdleLoop closes links that have carried nothing for a while, since gossip
+// reaches every host of a large fleet in time.
+func (p *Pool) closeIdleLoop() {
+	ticker := time.NewTicker(idleCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-ticker.C:
+			p.closeIdle()
+		}
+	}
+}
+
+func (p *Pool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, r := range p.peers {
+		if !r.mu.TryLock() {
+			continue
+		}
+		if r.alive() == nil || r.link.closeIfIdle() {
+			delete(p.peers, address)
+		}
+		r.mu.Unlock()
+	}
+}
+
+// closeIfIdle closes a link that has no stream and has carried nothing lately.
+func (l *clientLink) closeIfIdle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.streams) > 0 || !l.queue.empty() || l.idleFor() < idleAfter {
+		return false
+	}
+	l.failed = true
+	l.close()
+	return true
 }
 
 // Close ends every link and waits for their goroutines.
@@ -199,8 +253,8 @@
 		}
 		return nil, fmt.Errorf("dial peer %s: %w", address, err)
 	}
-	l := &clientLink{link: newLink(conn, p.hello), streams: map[uint64]*Stream{}}
-	reader := bufio.NewReaderSize(conn, writeBufferSize)
+	l := &clientLink{link: newLink(conn, p.hello, p.traffic), streams: map[uint64]*Stream{}}
+	reader := bufio.NewReaderSize(conn, readBufferSize)
 	if err := l.handshake(reader); err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("handshake with peer %s: %w", address, err)
@@ -241,7 +295,7 @@
 	defer l.failAll()
 	defer l.close()
 	for {
-		frame, err := wire.Read(r)
+		frame, err := l.read(r)
 		if err != nil {
 			return
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -61,6 +61,7 @@
 // Server accepts links from peers.
 type Server struct {
 	hello    wire.Hello
+	traffic  *Traffic
 	handler  Handler
 	listener net.Listener
 	ctx      context.Context
@@ -88,10 +89,11 @@
 }
 
 // NewServer returns a server for an open listener.
-func NewServer(listener net.Listener, hello wire.Hello, handler Handler) *Server {
+func NewServer(listener net.Listener, hello wire.Hello, traffic *Traffic, handler Handler) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Server{
 		hello:    hello,
+		traffic:  traffic,
 		handler:  handler,
 		listener: listener,
 		ctx:      ctx,
@@ -110,7 +112,7 @@
 			}
 			return fmt.Errorf("accept a peer: %w", err)
 		}
-		l := &serverLink{link: newLink(conn, s.hello), server: s, calls: map[uint64]runningCall{}}
+		l := &serverLink{link: newLink(conn, s.hello, s.traffic), server: s, calls: map[uint64]runningCall{}}
 		if !s.add(l) {
 			l.close()
 			return nil
@@ -151,7 +153,7 @@
 	defer l.server.remove(l)
 	defer l.wg.Wait()
 	defer l.close()
-	reader := bufio.NewReaderSize(l.conn, writeBufferSize)
+	reader := bufio.NewReaderSize(l.conn, readBufferSize)
 	if err := l.handshake(reader); err != nil {
 		return
 	}
@@ -159,7 +161,7 @@
 	defer cancel()
 	l.wg.Go(l.writeLoop)
 	for {
-		frame, err := wire.Read(reader)
+		frame, err := l.read(reader)
 		if err != nil {
 			return
 		}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -22,7 +22,8 @@
 // MaxPayload is the greatest length of a frame's payload in bytes.
 const MaxPayload = 4 << 20
 
-const headerSize = 14
+// HeaderSize is the length of a frame's header in bytes.
+const HeaderSize = 14
 
 // Type names the message that a frame carries.
 type Type uint8
@@ -49,8 +50,42 @@
 	TypeMember
 	TypeBlob
 	TypeQuarantine
+	// NumTypes is greater than every type.
+	NumTypes
 )
 
+// typeNames holds the stable names of the types in metrics.
+var typeNames = [NumTypes]string{
+	TypeHello:          "hello",
+	TypeCancel:         "cancel",
+	TypeCancelLeaf:     "cancel_leaf",
+	TypeEnd:            "end",
+	TypeError:          "error",
+	TypeScatter:        "scatter",
+	TypeLeafResult:     "leaf_result",
+	TypeHeld:           "held",
+	TypeHeldResult:     "held_result",
+	TypeForward:        "forward",
+	TypeForwardResult:  "forward_result",
+	TypeHandover:       "handover",
+	TypeHandoverResult: "handover_result",
+	TypeHandoverNote:   "handover_note",
+	TypeProcess:        "process",
+	TypeProcessResult:  "process_result",
+	TypeBeat:           "beat",
+	TypeMember:         "member",
+	TypeBlob:           "blob",
+	TypeQuarantine:     "quarantine",
+}
+
+// String returns the stable name of t.
+func (t Type) String() string {
+	if t < NumTypes && typeNames[t] != "" {
+		return typeNames[t]
+	}
+	return "unknown"
+}
+
 // Frame is one message between two nodes.
 type Frame struct {
 	Type    Type
@@ -67,7 +102,7 @@
 // Read reads one frame. It returns ErrVersion or ErrTooLarge, wrapped, for a
 // frame that it refuses; the stream can't be used after any error.
 func Read(r io.Reader) (Frame, error) {
-	var header [headerSize]byte
+	var header [HeaderSize]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return Frame{}, err
 	}
@@ -95,7 +130,7 @@
 	if len(f.Payload) > MaxPayload {
 		return fmt.Errorf("%w: %d bytes, at most %d", ErrTooLarge, len(f.Payload), MaxPayload)
 	}
-	var header [headerSize]byte
+	var header [HeaderSize]byte
 	binary.BigEndian.PutUint32(header[0:4], uint32(len(f.Payload)))
 	header[4] = Version
 	header[5] = byte(f.Type)
