Keep a request that crashes targets from crashing more of them

Nothing stopped a caller from resending a request that had ended every leaf it reached. The screen controller runs package quarantine: the holder of a leaf that closes its connection makes the running content suspect and holds the answer back until the other hosts know; a suspect runs on one leaf at a time under a permit of one host, and is refused once that leaf has died too. A query that loses a leaf retries that part as the trial, so that an innocent one is still answered in full.

A trial does not run alone on its leaf: calls beside it through the leaf's other holder become suspect too and get a trial of their own. A host is blind, and stages contents that it has not seen complete, while it does not hear from its cell. No process test of the bound yet.

--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -23,6 +23,8 @@
 type searchEvent struct {
 	batch  *batch
 	result *wire.LeafResult
+	// grant answers a request for a trial.
+	grant *trialGrant
 	// err is set if the batch ended without all of its results.
 	err error
 }
@@ -43,7 +45,10 @@
 	}
 	run.batches = append(run.batches, b)
 	run.countSent(b)
-	go b.scatter(run.ctx, run.message(leaves))
+	m := newScatter(run.request, attemptID(run.request.ID, run.sent), run.collector.Pinned().Name, leaves)
+	m.Permit = run.calls[leaves[0]].permit
+	m.Known = run.searcher.screen.Known(run.request.Fingerprint)
+	go b.scatter(run.ctx, m)
 }
 
 func (run *searchRun) countSent(b *batch) {
--- a/internal/entry/result.go
+++ b/internal/entry/result.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"strconv"
+	"time"
 
 	"github.com/redwingshelf/redwingshelf/internal/coverage"
 	"github.com/redwingshelf/redwingshelf/internal/kind"
@@ -59,6 +60,11 @@
 	}
 }
 
+// budgetMicros returns the time left for leaf calls, in microseconds.
+func budgetMicros(r *Request) int64 {
+	return (time.Until(r.Deadline) - answerMargin).Microseconds()
+}
+
 // attemptID names the n-th message of a request.
 func attemptID(request string, n int) string {
 	return request + "." + strconv.Itoa(n)
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -22,12 +22,13 @@
 type Searcher struct {
 	router  Router
 	holders Holders
+	screen  Screen
 	states  serviceStates
 }
 
 // NewSearcher returns a searcher.
-func NewSearcher(router Router, holders Holders) *Searcher {
-	return &Searcher{router: router, holders: holders, states: serviceStates{start: time.Now()}}
+func NewSearcher(router Router, holders Holders, screen Screen) *Searcher {
+	return &Searcher{router: router, holders: holders, screen: screen, states: serviceStates{start: time.Now()}}
 }
 
 // Serve is the Handler of idempotent requests.
@@ -71,6 +72,11 @@
 	if plan.Snapshot.IsZero() {
 		return nil, kind.Errorf(kind.Unavailable, "no snapshot of service %q is known to be held", r.Service)
 	}
+	if r.Stage || r.Permit != nil {
+		if err := s.runFirst(ctx, r, plan.Snapshot.Name); err != nil {
+			return nil, err
+		}
+	}
 	run.begin(plan)
 	return run, nil
 }
--- a/internal/entry/search_hedge.go
+++ b/internal/entry/search_hedge.go
@@ -76,7 +76,7 @@
 	switch {
 	case found:
 		part.hedges++
-		run.try(choice, part)
+		run.try(choice, part, nil)
 		run.wakeAt(now + hedgeRecheck)
 	case decision.Verdict == hedge.Wait && decision.At > 0:
 		run.wakeAt(decision.At)
--- a/internal/entry/search_retry.go
+++ b/internal/entry/search_retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/quarantine"
 	"github.com/redwingshelf/redwingshelf/internal/snapshot"
 )
 
@@ -29,12 +30,23 @@
 	run.state.mu.Unlock()
 	switch action.Step {
 	case snapshot.StepTry:
-		run.try(action.Leaf, call.part)
+		run.try(action.Leaf, call.part, nil)
 	case snapshot.StepRestart:
 		run.begin(action.Plan)
 	}
 }
 
+// pendingBeside reports whether another call than the given one may still be
+// answered.
+func (p *partCalls) pendingBeside(call *leafCall) bool {
+	for _, other := range p.calls {
+		if other != call && !other.ended {
+			return true
+		}
+	}
+	return p.answered
+}
+
 // pending reports whether another call of the part may still be answered.
 func (p *partCalls) pending() bool {
 	for _, call := range p.calls {
@@ -59,9 +71,10 @@
 	return run.state.retries.Take(run.now())
 }
 
-// try calls another leaf for a part.
-func (run *searchRun) try(choice snapshot.Choice, part *partCalls) {
+// try calls another leaf for a part, under a permit if it is on trial.
+func (run *searchRun) try(choice snapshot.Choice, part *partCalls, permit *quarantine.Permit) {
 	call := run.add(choice, part)
+	call.permit = permit
 	host, found := run.nextHolder(call)
 	if !found {
 		run.failLeaf(choice.Leaf, kind.Unavailable)
--- a/internal/entry/search_run.go
+++ b/internal/entry/search_run.go
@@ -6,6 +6,7 @@
 
 	"github.com/redwingshelf/redwingshelf/internal/coverage"
 	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/quarantine"
 	"github.com/redwingshelf/redwingshelf/internal/snapshot"
 	"github.com/redwingshelf/redwingshelf/internal/wire"
 )
@@ -19,6 +20,8 @@
 	tried []string
 	// part is shared by the calls that cover the same part of the key space.
 	part *partCalls
+	// permit is set for a call on trial.
+	permit *quarantine.Permit
 	// ended is set once the call needs no further result.
 	ended bool
 }
@@ -100,24 +103,6 @@
 	return host, found
 }
 
-func (run *searchRun) message(leaves []string) *wire.Scatter {
-	r := run.request
-	budget := run.answerBy - run.now()
-	return &wire.Scatter{
-		RequestID:    r.ID,
-		AttemptID:    attemptID(r.ID, run.sent),
-		Customer:     r.Customer,
-		Service:      r.Service,
-		Class:        r.Class,
-		Snapshot:     run.collector.Pinned().Name,
-		Idempotent:   true,
-		BudgetMicros: budget.Microseconds(),
-		Fingerprint:  r.Fingerprint,
-		Body:         r.Body,
-		Leaves:       leaves,
-	}
-}
-
 func (run *searchRun) emit(e searchEvent) {
 	select {
 	case run.events <- e:
@@ -167,6 +152,10 @@
 		run.handleEnd(e)
 		return
 	}
+	if e.grant != nil {
+		run.handleGrant(e.grant)
+		return
+	}
 	r := e.result
 	if r.RequestID != run.request.ID || !e.batch.open[r.Leaf] {
 		return
@@ -216,6 +205,13 @@
 	if call == nil || call.ended {
 		return
 	}
+	if r.Kind != "" && call.permit != nil {
+		run.endPermit(call.permit, r.Run != string(kind.RunNo))
+	}
+	if r.Kind != "" && r.Died && !call.part.pendingBeside(call) {
+		run.requestTrial(call)
+		return
+	}
 	if r.Kind != "" {
 		run.failLeaf(r.Leaf, resultKind(r))
 		return
@@ -271,6 +267,11 @@
 
 // finish counts the calls that are given up as ended.
 func (run *searchRun) finish() {
+	for _, call := range run.calls {
+		if !call.ended {
+			run.endPermit(call.permit, true)
+		}
+	}
 	run.state.mu.Lock()
 	defer run.state.mu.Unlock()
 	for _, b := range run.batches {
--- /dev/null
+++ b/internal/entry/search_trial.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/quarantine"
+	"github.com/redwingshelf/redwingshelf/internal/snapshot"
+	"github.com/redwingshelf/redwingshelf/internal/wire"
+)
+
+// trialGrant is the answer to a request for a trial beside a query.
+type trialGrant struct {
+	call *leafCall
+	// permit is nil for a content that is no longer suspect.
+	permit *quarantine.Permit
+	err    error
+}
+
+// runFirst makes a suspect or staged content complete on one leaf.
+func (s *Searcher) runFirst(ctx context.Context, r *Request, pinned string) error {
+	leaf := s.firstLeaf(r)
+	err := s.callFirst(ctx, r, pinned, leaf)
+	if r.Permit != nil && err != nil {
+		s.screen.EndPermit(*r.Permit, !notRun(err))
+	}
+	return err
+}
+
+// firstLeaf returns the leaf for a trial, in the shard where a target died, or
+// for a staged content, which is the same one at every entry.
+func (s *Searcher) firstLeaf(r *Request) string {
+	var names []string
+	for _, shard := range r.Target.Shards {
+		if r.Permit != nil && shard.Name != r.Permit.Shard {
+			continue
+		}
+		for _, id := range shard.Replicas {
+			if leaf := r.Index.Leaf(id); leaf.AcceptsWork() {
+				names = append(names, leaf.Name)
+			}
+		}
+	}
+	return quarantine.StageTarget(r.Fingerprint, names)
+}
+
+func (s *Searcher) callFirst(ctx context.Context, r *Request, pinned, leaf string) error {
+	err := error(kind.Errorf(kind.Unavailable, "no holder can call leaf %q first", leaf))
+	for n, host := range s.router.Holders(leaf) {
+		m := newScatter(r, attemptID(r.ID, -n-1), pinned, []string{leaf})
+		m.Permit = r.Permit
+		m.Known = s.screen.Known(r.Fingerprint)
+		var only onlyResult
+		sendErr := s.holders.Scatter(ctx, host, m, &only)
+		switch {
+		case only.result != nil && only.result.Kind == "":
+			return nil
+		case only.result != nil:
+			err = resultError(only.result)
+		case sendErr != nil:
+			err = streamError(sendErr)
+		}
+		if !holderMatters(kind.Of(err)) {
+			return err
+		}
+	}
+	return err
+}
+
+// requestTrial asks, beside the query, for the right to call another leaf after
+// one has died.
+func (run *searchRun) requestTrial(call *leafCall) {
+	b := call.batch
+	go func() {
+		permit, err := run.searcher.screen.RequestPermit(run.ctx, run.request.Fingerprint)
+		run.emit(searchEvent{batch: b, grant: &trialGrant{call: call, permit: permit, err: err}})
+	}()
+}
+
+// handleGrant calls another leaf under the permit.
+func (run *searchRun) handleGrant(g *trialGrant) {
+	if g.call.ended {
+		run.endPermit(g.permit, false)
+		return
+	}
+	leaf := g.call.choice.Leaf
+	run.collector.Fail(leaf, kind.ConnectionLost)
+	g.call.ended = true
+	if g.err != nil || g.call.part.pending() {
+		run.endPermit(g.permit, false)
+		return
+	}
+	run.state.mu.Lock()
+	action := run.query.Failed(run.now(), g.call.choice, kind.ConnectionLost, answerMargin)
+	run.state.mu.Unlock()
+	if action.Step != snapshot.StepTry {
+		run.endPermit(g.permit, false)
+		return
+	}
+	run.try(action.Leaf, g.call.part, g.permit)
+}
+
+func (run *searchRun) endPermit(permit *quarantine.Permit, sent bool) {
+	if permit != nil {
+		run.searcher.screen.EndPermit(*permit, sent)
+	}
+}
+
+// newScatter returns the message that asks a holder for leaf calls of a search.
+func newScatter(r *Request, attempt, pinned string, leaves []string) *wire.Scatter {
+	return &wire.Scatter{
+		RequestID:    r.ID,
+		AttemptID:    attempt,
+		Customer:     r.Customer,
+		Service:      r.Service,
+		Class:        r.Class,
+		Snapshot:     pinned,
+		Idempotent:   true,
+		BudgetMicros: budgetMicros(r),
+		Fingerprint:  r.Fingerprint,
+		Body:         r.Body,
+		Leaves:       leaves,
+	}
+}
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -4,7 +4,6 @@
 	"context"
 	"hash/fnv"
 	"slices"
-	"time"
 
 	"github.com/redwingshelf/redwingshelf/internal/kind"
 	"github.com/redwingshelf/redwingshelf/internal/wire"
@@ -16,15 +15,24 @@
 type Submitter struct {
 	router  Router
 	holders Holders
+	screen  Screen
 }
 
 // NewSubmitter returns a submitter.
-func NewSubmitter(router Router, holders Holders) *Submitter {
-	return &Submitter{router: router, holders: holders}
+func NewSubmitter(router Router, holders Holders, screen Screen) *Submitter {
+	return &Submitter{router: router, holders: holders, screen: screen}
 }
 
 // Serve is the Handler of requests that are not idempotent.
 func (s *Submitter) Serve(ctx context.Context, r *Request) (*Answer, error) {
+	answer, err := s.submit(ctx, r)
+	if err != nil && r.Permit != nil {
+		s.screen.EndPermit(*r.Permit, !notRun(err))
+	}
+	return answer, err
+}
+
+func (s *Submitter) submit(ctx context.Context, r *Request) (*Answer, error) {
 	err := error(kind.Errorf(kind.Unavailable, "no leaf can take the request now"))
 	if r.MarkSent != nil && !r.MarkSent() {
 		return nil, kind.Errorf(kind.AlreadyRunning, "the request's ticket is no longer good")
@@ -82,8 +90,10 @@
 		Customer:     r.Customer,
 		Service:      r.Service,
 		Class:        r.Class,
-		BudgetMicros: (time.Until(r.Deadline) - answerMargin).Microseconds(),
+		BudgetMicros: budgetMicros(r),
 		Fingerprint:  r.Fingerprint,
+		Permit:       r.Permit,
+		Known:        s.screen.Known(r.Fingerprint),
 		Body:         r.Body,
 		Leaves:       []string{leaf},
 	}
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -9,6 +9,7 @@
 
 	"github.com/redwingshelf/redwingshelf/internal/coverage"
 	"github.com/redwingshelf/redwingshelf/internal/document"
+	"github.com/redwingshelf/redwingshelf/internal/quarantine"
 	"github.com/redwingshelf/redwingshelf/internal/wire"
 )
 
@@ -41,7 +42,12 @@
 	Timeout     time.Duration
 	Received    time.Time
 	Deadline    time.Time
-	Fingerprint []byte
+	Fingerprint quarantine.Fingerprint
+	// Stage is set for a search whose content must complete on one leaf before it
+	// is sent to the others.
+	Stage bool
+	// Permit is set for a suspect content, which runs on trial first.
+	Permit *quarantine.Permit
 	// MarkSent is called directly before the first byte of a request that is not
 	// idempotent may be sent; the request is not sent if it returns false.
 	MarkSent func() bool
@@ -98,6 +104,22 @@
 	Down(host string) bool
 }
 
+// Screen keeps requests that crash targets from crashing more of them.
+// Implementations are safe for concurrent use.
+type Screen interface {
+	// Admit decides on a request.
+	Admit(f quarantine.Fingerprint) quarantine.Verdict
+	// Completed records that a request has completed on all its targets.
+	Completed(f quarantine.Fingerprint)
+	// Known returns what is known of a content, at most one record.
+	Known(f quarantine.Fingerprint) []quarantine.Record
+	// RequestPermit asks for the right to run a suspect content on trial. It
+	// returns nil for a content that is no longer suspect.
+	RequestPermit(ctx context.Context, f quarantine.Fingerprint) (*quarantine.Permit, error)
+	// EndPermit tells that a trial has ended. sent is false if nothing was sent.
+	EndPermit(permit quarantine.Permit, sent bool)
+}
+
 // Receiver takes the results of a Scatter. Its methods are called by one
 // goroutine at a time.
 type Receiver interface {
--- /dev/null
+++ b/internal/holder/death.go
@@ -0,0 +1,58 @@
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/quarantine"
+	"github.com/redwingshelf/redwingshelf/internal/wire"
+)
+
+const (
+	// deathProbes is the number of times that a leaf is asked for its report
+	// after it has closed a connection with a trial in flight.
+	deathProbes        = 20
+	deathProbeInterval = 50 * time.Millisecond
+)
+
+// reportDeath makes the content of a call suspect if its leaf has closed the
+// connection, and decides a trial. The result is held back until other hosts
+// know, so that a resend meets hosts that do.
+func (l *leaf) reportDeath(c *Call, result *wire.LeafResult) {
+	if !result.Died {
+		return
+	}
+	if c.Permit == nil {
+		l.holder.screen.Died(l.shardName(), c.Fingerprint)
+		return
+	}
+	if l.hasEnded() {
+		l.holder.screen.EndTrial(*c.Permit, quarantine.TrialDied)
+	}
+}
+
+func (l *leaf) shardName() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.entry.ShardName()
+}
+
+// hasEnded reports whether the process that ran a call has ended: its address
+// refuses connections, or a new incarnation answers.
+func (l *leaf) hasEnded() bool {
+	before, known := l.lastReport()
+	for range deathProbes {
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		report, err := l.caller.Report(ctx)
+		cancel()
+		switch {
+		case err == nil:
+			return !known || report.Incarnation != before.Incarnation
+		case kind.Of(err) == kind.ConnectFailed:
+			return true
+		}
+		time.Sleep(deathProbeInterval)
+	}
+	return false
+}
--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/quarantine"
 	"github.com/redwingshelf/redwingshelf/internal/target"
 	"github.com/redwingshelf/redwingshelf/internal/warmup"
 	"github.com/redwingshelf/redwingshelf/internal/wire"
@@ -39,9 +40,14 @@
 	})
 	latency := time.Since(begin)
 	if err != nil {
-		return l.fail(c, id, epoch, deadline, err)
+		result := l.fail(c, id, epoch, deadline, err)
+		l.reportDeath(c, &result)
+		return result
 	}
 	warm, busy := l.succeed(id, epoch, latency, answer)
+	if c.Permit != nil {
+		l.holder.screen.EndTrial(*c.Permit, quarantine.TrialCompleted)
+	}
 	return wire.LeafResult{
 		Warm:        warm,
 		Busy:        busy,
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -44,7 +44,7 @@
 	leaves map[string]*leaf
 }
 
-// New returns a holder without leaves; SetIndex gives it some. screen may be nil.
+// New returns a holder without leaves; SetIndex gives it some.
 func New(permits Permits, screen Screen, targets Targets, scope tally.Scope) *Holder {
 	h := &Holder{
 		permits: permits,
@@ -164,14 +164,19 @@
 	if permit.Slots <= 0 {
 		return Permit{}, kind.Errorf(kind.NotHolder, "this host holds no slot of leaf %q", c.Leaf)
 	}
-	if h.screen != nil {
-		if err := h.screen.Check(c.Fingerprint); err != nil {
-			return Permit{}, err
-		}
-	}
 	return permit, nil
 }
 
+// checkSend returns the reason for which a call must not be sent, directly before
+// the send. It uses up the call's permit for a trial.
+func (h *Holder) checkSend(c *Call) error {
+	if _, err := h.check(c); err != nil {
+		return err
+	}
+	h.screen.Merge(c.Known)
+	return h.screen.MaySend(c.Fingerprint, c.Permit)
+}
+
 // Call makes one leaf call. When ctx ends it returns at once and the leaf is
 // asked to cancel; the slot stays in use until the leaf has ended the work.
 func (h *Holder) Call(ctx context.Context, c *Call) wire.LeafResult {
@@ -207,7 +212,7 @@
 	if err != nil {
 		return nil, 0, Permit{}, err
 	}
-	if _, err := h.check(c); err != nil {
+	if err := h.checkSend(c); err != nil {
 		l.release(id)
 		return nil, 0, Permit{}, err
 	}
--- a/internal/holder/scatter.go
+++ b/internal/holder/scatter.go
@@ -76,6 +76,8 @@
 		Idempotent:  m.Idempotent,
 		Deadline:    deadline,
 		Fingerprint: m.Fingerprint,
+		Permit:      m.Permit,
+		Known:       m.Known,
 		Body:        m.Body,
 	}
 }
--- a/internal/holder/types.go
+++ b/internal/holder/types.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/redwingshelf/redwingshelf/internal/document"
+	"github.com/redwingshelf/redwingshelf/internal/quarantine"
 	"github.com/redwingshelf/redwingshelf/internal/target"
 )
 
@@ -39,10 +40,19 @@
 	Judge(leaf, incarnation string, warm bool)
 }
 
-// Screen refuses requests by their content.
+// Screen keeps requests that crash targets from crashing more of them.
+// Implementations are safe for concurrent use.
 type Screen interface {
-	// Check returns an error with a kind for a request that must not be sent.
-	Check(fingerprint []byte) error
+	// Merge takes over what an entry knows of a content.
+	Merge(records []quarantine.Record)
+	// MaySend returns an error with a kind for a content that must not be sent.
+	// It is called directly before the send, and uses up the permit if there is one.
+	MaySend(f quarantine.Fingerprint, permit *quarantine.Permit) error
+	// Died records that a target of a shard died while it ran a content. It
+	// returns once the other hosts know, or after a bound.
+	Died(shard string, f quarantine.Fingerprint)
+	// EndTrial records the end of a trial, and returns as Died does.
+	EndTrial(permit quarantine.Permit, end quarantine.TrialEnd)
 }
 
 // Targets finds and calls leaves. Implementations are safe for concurrent use.
@@ -65,8 +75,11 @@
 	Snapshot    string
 	Idempotent  bool
 	Deadline    time.Time
-	Fingerprint []byte
-	Body        []byte
+	Fingerprint quarantine.Fingerprint
+	// Permit is set for a suspect content that runs on trial.
+	Permit *quarantine.Permit
+	Known  []quarantine.Record
+	Body   []byte
 }
 
 // LeafStatus is what the holder knows of one leaf.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/redwingshelf/redwingshelf/internal/peer"
 	"github.com/redwingshelf/redwingshelf/internal/permit"
 	"github.com/redwingshelf/redwingshelf/internal/routing"
+	"github.com/redwingshelf/redwingshelf/internal/screen"
 	"github.com/redwingshelf/redwingshelf/internal/settings"
 	"github.com/redwingshelf/redwingshelf/internal/wire"
 )
@@ -46,6 +47,7 @@
 	fleet       *fleet.Controller
 	permits     *permit.Controller
 	beats       processes
+	screen      *screen.Controller
 	holder      *holder.Holder
 	pool        *peer.Pool
 	peers       *peer.Server
@@ -98,7 +100,8 @@
 		open.close()
 		return nil, err
 	}
-	n.holder = holder.New(n.permits, nil, n.targets, n.scope)
+	n.screen = n.newScreen()
+	n.holder = holder.New(n.permits, n.screen, n.targets, n.scope)
 	n.self = n.process()
 	n.tickets = entry.NewTickets(n.self, &holders{node: n})
 	n.peers = peer.NewServer(open.peer, hello, traffic, &peerHandler{node: n})
@@ -147,6 +150,7 @@
 	group.Go(func() error { return n.holder.Run(groupCtx) })
 	group.Go(func() error { return n.permits.Run(groupCtx) })
 	group.Go(func() error { return n.fleet.Run(groupCtx) })
+	group.Go(func() error { return n.screen.Run(groupCtx) })
 	group.Go(func() error { return n.becomeReady(groupCtx) })
 	group.Go(func() error {
 		defer cancel()
@@ -199,8 +203,8 @@
 
 func (n *Node) newCallerServer() *http.Server {
 	holders := &holders{node: n}
-	searcher := entry.NewSearcher(n.table, holders)
-	submitter := entry.NewSubmitter(n.table, holders)
+	searcher := entry.NewSearcher(n.table, holders, n.screen)
+	submitter := entry.NewSubmitter(n.table, holders, n.screen)
 	last := func(ctx context.Context, r *entry.Request) (*entry.Answer, error) {
 		if r.Idempotent {
 			return searcher.Serve(ctx, r)
@@ -212,9 +216,11 @@
 		entry.Identify(n.table),
 		entry.Deadline(),
 		entry.AtMostOnce(n.tickets),
+		entry.Quarantine(n.screen),
 	)
+	submit := entry.Chain(submitter.Serve, entry.Quarantine(n.screen))
 	n.forwarded = entry.Chain(func(ctx context.Context, r *entry.Request) (*entry.Answer, error) {
-		return n.tickets.Serve(ctx, r, submitter.Serve)
+		return n.tickets.Serve(ctx, r, submit)
 	}, entry.Identify(n.table), entry.Deadline())
 	limits := n.settings.Limits
 	return &http.Server{
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -80,6 +80,8 @@
 		return p.held(ctx, frame, reply)
 	case wire.TypeForward:
 		return p.forward(ctx, frame, reply)
+	case wire.TypePermit, wire.TypeRecords:
+		return p.handleScreenCall(ctx, frame, reply)
 	case wire.TypeProcess:
 		return p.process(ctx, reply)
 	case wire.TypeHandover:
@@ -95,6 +97,8 @@
 	case wire.TypeBlob:
 		p.node.config.Deliver(frame.Payload)
 		p.node.hosts.Deliver(frame.Payload)
+	case wire.TypeQuarantine, wire.TypeQuarantineAck, wire.TypeQuarantineEnd:
+		p.handleScreenMessage(frame)
 	case wire.TypeMember:
 		p.node.fleet.Deliver(frame.Payload)
 	case wire.TypeBeat:
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -24,6 +24,7 @@
 			return nil
 		}
 	}
+	n.screen.Fetch(ctx)
 	held := n.awaitShares(ctx)
 	if ctx.Err() != nil {
 		return nil
--- a/internal/permit/controller.go
+++ b/internal/permit/controller.go
@@ -39,7 +39,8 @@
 	start   time.Time
 	locked  *share.Locked
 	// ids maps the names of leaves to the identifiers that placement uses.
-	ids atomic.Pointer[map[string]string]
+	ids      atomic.Pointer[map[string]string]
+	attached atomic.Bool
 }
 
 // New returns a controller; Run starts it.
@@ -87,6 +88,10 @@
 	c.locked.Do(func(s *share.State) { s.Ended(c.now(), host, incarnation) })
 }
 
+// Attached reports whether this node hears from its cell, so that it may use
+// shares.
+func (c *Controller) Attached() bool { return c.attached.Load() }
+
 // StartHandOver ends the use of all shares for good.
 func (c *Controller) StartHandOver() {
 	c.locked.Do(func(s *share.State) { s.StartHandOver(c.now()) })
@@ -121,7 +126,10 @@
 
 func (c *Controller) tick() {
 	var out []share.Outgoing
-	c.locked.Do(func(s *share.State) { out = s.Tick(c.now()) })
+	c.locked.Do(func(s *share.State) {
+		out = s.Tick(c.now())
+		c.attached.Store(s.Attached())
+	})
 	for i := range out {
 		c.options.Send(out[i].To, &out[i].Beat)
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -106,6 +106,18 @@
 	return host, found
 }
 
+// PeerHosts returns the names of the other hosts of the list that are not known
+// to be down.
+func (t *Table) PeerHosts() []string {
+	var names []string
+	for _, address := range t.view.Load().peers {
+		if host, found := t.HostAt(address); found && !t.Down(host) {
+			names = append(names, host)
+		}
+	}
+	return names
+}
+
 // PeerAddresses returns the peer addresses of the other hosts that are live, in
 // the order of the list.
 func (t *Table) PeerAddresses() []string { return t.view.Load().peers }
--- a/internal/share/status.go
+++ b/internal/share/status.go
@@ -81,3 +81,7 @@
 		st.Lent = append(st.Lent, name)
 	}
 }
+
+// Attached reports whether this process hears from its cell, so that it may use
+// shares.
+func (s *State) Attached() bool { return s.attached }
--- a/internal/target/conns.go
+++ b/internal/target/conns.go
@@ -49,6 +49,8 @@
 type conn struct {
 	client *http.ClientConn
 	raw    *countedConn
+	// retired is set before this end closes the connection.
+	retired atomic.Bool
 	// mu guards inFlight and owingSince.
 	mu         sync.Mutex
 	inFlight   int
@@ -221,6 +223,7 @@
 
 func (c *conns) retireLocked(candidate *conn, now time.Time) {
 	c.retired = append(c.retired, now.Add(retiredCountsFor))
+	candidate.retired.Store(true)
 	_ = candidate.client.Close()
 	_ = candidate.raw.Close()
 }
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -61,7 +61,7 @@
 	response, err := c.client.RoundTrip(h.newRequest(ctx, r, remaining))
 	if err != nil {
 		h.conns.sweep()
-		return nil, h.transportError(ctx, r, err)
+		return nil, h.transportError(ctx, c, r, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	return h.readAnswer(ctx, c, r, response)
@@ -119,7 +119,7 @@
 
 // transportError classifies a failure without an answer. The request may have
 // left this node, so that its outcome is unknown.
-func (h *HTTP) transportError(ctx context.Context, r *Request, err error) error {
+func (h *HTTP) transportError(ctx context.Context, c *conn, r *Request, err error) error {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return failed(kind.Errorf(kind.DeadlineExceeded, "leaf %q did not answer in time", r.Leaf))
@@ -127,7 +127,7 @@
 		return failed(kind.Errorf(kind.Canceled, "call to leaf %q was canceled", r.Leaf))
 	default:
 		e := failed(kind.Errorf(kind.ConnectionLost, "call to leaf %q: %w", r.Leaf, err))
-		e.Died = true
+		e.Died = !c.retired.Load()
 		return e
 	}
 }
@@ -149,7 +149,7 @@
 	}
 	body := make([]byte, response.ContentLength)
 	if _, err := io.ReadFull(response.Body, body); err != nil {
-		return nil, h.bodyError(ctx, r, err)
+		return nil, h.bodyError(ctx, c, r, err)
 	}
 	from, to, err := ParseRange(response.Header.Get(HeaderKeyRange))
 	if err != nil {
@@ -164,14 +164,14 @@
 	}, nil
 }
 
-func (h *HTTP) bodyError(ctx context.Context, r *Request, err error) error {
+func (h *HTTP) bodyError(ctx context.Context, c *conn, r *Request, err error) error {
 	if ctx.Err() != nil {
-		return h.transportError(ctx, r, err)
+		return h.transportError(ctx, c, r, err)
 	}
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return failed(kind.Errorf(kind.BadAnswer, "answer of leaf %q is truncated: %w", r.Leaf, err))
 	}
-	return h.transportError(ctx, r, err)
+	return h.transportError(ctx, c, r, err)
 }
 
 // refusals maps the leaf's refusal words to kinds.
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -50,6 +50,12 @@
 	TypeMember
 	TypeBlob
 	TypeQuarantine
+	TypeQuarantineAck
+	TypeQuarantineEnd
+	TypePermit
+	TypePermitResult
+	TypeRecords
+	TypeRecordsResult
 	// NumTypes is greater than every type.
 	NumTypes
 )
@@ -75,6 +81,12 @@
 	TypeBeat:           "beat",
 	TypeMember:         "member",
 	TypeBlob:           "blob",
+	TypeQuarantineAck:  "quarantine_ack",
+	TypeQuarantineEnd:  "quarantine_end",
+	TypePermit:         "permit",
+	TypePermitResult:   "permit_result",
+	TypeRecords:        "records",
+	TypeRecordsResult:  "records_result",
 	TypeQuarantine:     "quarantine",
 }
 
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -1,5 +1,7 @@
 package wire
 
+import "github.com/redwingshelf/redwingshelf/internal/quarantine"
+
 // Hello is the first frame in each direction of a connection.
 type Hello struct {
 	Host        string
@@ -24,9 +26,13 @@
 	Idempotent bool
 	// BudgetMicros is the time left until the deadline, in microseconds.
 	BudgetMicros int64
-	Fingerprint  []byte
-	Body         []byte
-	Leaves       []string
+	Fingerprint  quarantine.Fingerprint
+	// Permit is set for a suspect content that runs on trial.
+	Permit *quarantine.Permit
+	// Known is what the entry knows of the content, at most one record.
+	Known  []quarantine.Record
+	Body   []byte
+	Leaves []string
 }
 
 // LeafResult is the outcome of one leaf call of a Scatter.
