Test the bound on targets lost per poison request with processes

Six nodes under innocent load; every leaf ends on the poison text and restarts. The content is sent once and then 18 times more through all entries.

--- /dev/null
+++ b/internal/e2e/poison_test.go
@@ -0,0 +1,48 @@
+package e2e
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingshelf/redwingshelf/internal/standin"
+)
+
+func (c *cluster) crashes() int {
+	total := 0
+	for _, leaf := range c.leaves {
+		total += leaf.Counts().Crashes
+	}
+	return total
+}
+
+func TestPoisonCostsAtMostTwoTargetsAfterItsFirstScatter(t *testing.T) {
+	snapshot := standin.NewSnapshot("1-first", 90, 10)
+	c := start(t, 6, siteDocument(t), standin.LeafOptions{ServiceTime: time.Millisecond}, snapshot)
+	load := c.startLoad(searchPath, 2)
+	load.waitAnswers(100)
+	for _, leaf := range c.leaves {
+		leaf.SetFaults(standin.Faults{Poison: "poison", RestartAfter: 300 * time.Millisecond})
+	}
+	first, err := c.nodes[0].post(searchPath, `{"text":"poison"}`, nil)
+	require.NoError(t, err)
+	lost := c.crashes()
+	require.Positive(t, lost)
+	for range 3 {
+		for _, node := range c.nodes {
+			a, err := node.post(searchPath, `{"text":"poison"}`, nil)
+			require.NoError(t, err)
+			require.NotEqual(t, http.StatusOK, a.Status)
+		}
+	}
+	t.Logf("first scatter: status %d, %d leaves lost; resends: %d", first.Status, lost, c.crashes()-lost)
+	require.LessOrEqual(t, c.crashes()-lost, 2)
+	c.wait("searches beside the poison are whole again", func() bool {
+		a, err := c.nodes[1].post(searchPath, `{"text":"entry"}`, nil)
+		return err == nil && a.Status == http.StatusOK && a.Coverage.Covered == a.Coverage.Total
+	})
+	load.stop()
+	c.requireWithinBounds()
+}
--- a/internal/standin/leaf.go
+++ b/internal/standin/leaf.go
@@ -59,6 +59,9 @@
 	Truncate bool
 	// Poison is a text in a request body that ends the leaf's process.
 	Poison string
+	// RestartAfter is the time after which a leaf that a poison request ended
+	// starts again; zero leaves it down.
+	RestartAfter time.Duration
 	// Delay is added to every request.
 	Delay time.Duration
 	// Leaving makes the leaf report that it is leaving and refuse new work.
--- a/internal/standin/leaf_http.go
+++ b/internal/standin/leaf_http.go
@@ -56,6 +56,15 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// crashOn ends the leaf's process because of a poison request.
+func (l *Leaf) crashOn(f Faults) {
+	if f.RestartAfter > 0 {
+		l.CrashFor(f.RestartAfter)
+		return
+	}
+	l.Crash()
+}
+
 func (l *Leaf) handleRun(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, target.MaxAnswer))
 	if err != nil {
@@ -63,7 +72,7 @@
 	}
 	work, refusal := l.admit(r, body)
 	if work.crash {
-		l.Crash()
+		l.crashOn(work.faults)
 		l.finish(work.record, false)
 		return
 	}
