--- a/internal/share/state_test.go
+++ b/internal/share/state_test.go
@@ -78,25 +78,23 @@
 	}
 }
 
-func TestIsolatedHostStopsAndReturns(t *testing.T) {
-	s := settledSim(t, 6)
-	s.split(func(i int) bool { return i == 2 })
-	require.NoError(t, s.run(4*time.Second))
-	require.Equal(t, 1.0, s.least())
-	require.False(t, s.hosts[2].state.Status().Attached)
-	clear(s.cut)
-	until(t, s, 3*time.Second, func() bool { return s.full() && s.hosts[2].state.Status().Held > 0 })
-}
-
-func TestPauseMakesPermitsStale(t *testing.T) {
-	s := settledSim(t, 6)
-	h := s.hosts[3]
-	h.frozenUntil = s.now + 10*time.Second
-	require.NoError(t, s.run(10*time.Second-simStep))
-	for leaf := range s.bounds {
-		require.Zero(t, h.state.Allowed(h.local(s.now), leaf).Slots)
+func TestLostHostStopsAndReturns(t *testing.T) {
+	faults := map[string]func(*sim){
+		"isolated": func(s *sim) { s.split(func(i int) bool { return i == 2 }) },
+		"paused":   func(s *sim) { s.hosts[2].frozenUntil = s.now + 4*time.Second },
+	}
+	for name, fault := range faults {
+		s := settledSim(t, 6)
+		state := s.hosts[2].state
+		fault(s)
+		require.NoError(t, s.run(4*time.Second-simStep), name)
+		require.Equal(t, 1.0, s.least())
+		for _, leaf := range s.leaves {
+			require.Zero(t, state.Allowed(s.hosts[2].local(s.now), leaf).Slots, name)
+		}
+		clear(s.cut)
+		until(t, s, 3*time.Second, func() bool { return s.full() && state.Status().Held > 0 })
 	}
-	until(t, s, 3*time.Second, func() bool { return s.full() && h.state.Status().Held > 0 })
 }
 
 func TestHostListChangeKeepsShares(t *testing.T) {
@@ -184,6 +182,40 @@
 	require.Equal(t, 1, allowed(second).Slots)
 }
 
+// A host with a newer list is in contact only with one that no other host knows
+// of. That contact must not keep its shares, since the others fence it.
+func TestContactWithAnUnknownHostDoesNotCount(t *testing.T) {
+	s := settledSim(t, 6)
+	s.kill(5)
+	s.addView([]int{0, 1, 2, 3, 4})
+	for i := range 5 {
+		s.setView(i, 1)
+	}
+	until(t, s, 4*time.Second, s.full)
+	s.addView([]int{0, 1, 2, 3, 4, 5})
+	s.split(func(i int) bool { return i == 0 || i == 5 })
+	s.startProcess(5, 0)
+	s.setView(0, 2)
+	require.NoError(t, s.run(5*time.Second))
+	require.Equal(t, 1.0, s.least())
+}
+
+// A process that starts on a list learns from its peers that a host which the
+// list does not name has not released its shares.
+func TestStartLearnsOfUnsettledHosts(t *testing.T) {
+	s := settledSim(t, 4)
+	s.addView([]int{0, 1, 2})
+	s.cut[[2]int{2, 3}], s.cut[[2]int{3, 2}] = true, true
+	s.kill(2)
+	s.setView(0, 1)
+	s.setView(1, 1)
+	s.startProcess(2, 0)
+	require.NoError(t, s.run(5*time.Second))
+	require.Equal(t, []string{"host-3"}, s.hosts[2].state.Status().Unsettled)
+	s.setView(3, 1)
+	until(t, s, 4*time.Second, s.full)
+}
+
 // A host that was fenced and a process that starts on an old list reach only
 // each other. Neither may use shares, since the others have moved them.
 func TestStaleProcessCannotAttachAFencedHost(t *testing.T) {
