--- a/internal/share/state_test.go
+++ b/internal/share/state_test.go
@@ -107,8 +107,8 @@
 		held += before - h.state.Status().Held
 		require.NoError(t, s.run(100*time.Millisecond))
 	}
-	t.Logf("%d shares moved", held)
-	until(t, s, 3*time.Second, s.full)
+	took := until(t, s, 3*time.Second, s.full)
+	t.Logf("%d shares moved, in use %v after the last host had the list", held, took)
 	// A stale list changes nothing, another list of the same revision is refused.
 	s.setView(0, 0)
 	require.True(t, s.full())
