--- a/internal/confsync/options.go
+++ b/internal/confsync/options.go
@@ -25,6 +25,7 @@
 	// TickInterval is the interval at which the controller calls Tick.
 	TickInterval = 100 * time.Millisecond
 
+	// watchWait is the mean time that a read waits for a change.
 	watchWait       = 20 * time.Second
 	readGrace       = 10 * time.Second
 	standbyInterval = 3 * time.Second
--- a/internal/confsync/reader.go
+++ b/internal/confsync/reader.go
@@ -115,7 +115,7 @@
 		after--
 		r.nextVerify = now + verifyInterval
 	case r.rank == 0 && r.answered:
-		wait = watchWait
+		wait = (watchWait/2 + s.jitter(watchWait)).Truncate(time.Second)
 	}
 	r.deadline = now + wait + readGrace
 	s.emit(Read{ID: r.nextID, After: after, Wait: wait})
--- a/internal/confsync/syncer_test.go
+++ b/internal/confsync/syncer_test.go
@@ -1,6 +1,7 @@
 package confsync
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -77,6 +78,53 @@
 	}
 }
 
+func TestReadsOfAFleetWhoseNodesAreAllCutOffFromEachOther(t *testing.T) {
+	f := started(t, 600, 13, 1)
+	for i, n := range f.nodes {
+		f.side[n.self.Name] = i
+	}
+	f.run(30 * time.Second)
+	f.reads = nil
+	f.run(time.Minute)
+	t.Logf("%d reads in a minute, at most %d in a second", len(f.reads), f.greatestReadRate())
+	require.LessOrEqual(t, f.greatestReadRate(), 200)
+	f.publish(document(2, "a", testSize))
+	require.LessOrEqual(t, f.timeToAll(2, time.Minute), 15*time.Second)
+	t.Logf("at most %d reads in a second after a change", f.greatestReadRate())
+	require.LessOrEqual(t, f.greatestReadRate(), 2000)
+}
+
+func TestWrongDifferenceIsReplacedByTheWholeDocument(t *testing.T) {
+	f := started(t, 24, 14, 1)
+	for _, n := range f.nodes {
+		n.syncer.opts.Differ = wrongDiffer{}
+	}
+	f.publish(document(2, "a", testSize))
+	require.LessOrEqual(t, f.timeToAll(2, time.Minute), 5*time.Second)
+	require.Positive(t, rejections(f, IdentityMismatch))
+}
+
+type wrongDiffer struct{ headDiffer }
+
+func (wrongDiffer) Apply(_, _ []byte) ([]byte, error) { return document(2, "wrong", testSize), nil }
+
+func TestDocumentRefusedByOneNodeIsNotFetchedAgain(t *testing.T) {
+	f := started(t, 6, 15, 1)
+	choosy := f.nodes[4].syncer
+	choosy.opts.Check = func(data []byte) (Identity, error) {
+		if id, err := check(data); err != nil || id.Revision != 2 {
+			return id, err
+		}
+		return Identity{}, errors.New("revision 2 is refused here")
+	}
+	f.publish(document(2, "a", testSize))
+	f.run(5 * time.Minute)
+	require.Equal(t, 5, f.inForce(2))
+	require.LessOrEqual(t, rejections(f, CheckFailed), 2)
+	f.publish(document(3, "a", testSize))
+	require.LessOrEqual(t, f.timeToAll(3, time.Minute), 5*time.Second)
+}
+
 func TestRefusedDocumentLeavesTheOldOneInForce(t *testing.T) {
 	f := started(t, 6, 4, 1)
 	f.reads = nil
