--- a/internal/confsync/reader.go
+++ b/internal/confsync/reader.go
@@ -115,7 +115,7 @@
 		after--
 		r.nextVerify = now + verifyInterval
 	case r.rank == 0 && r.answered:
-		wait = watchWait
+		wait = (watchWait/2 + s.jitter(watchWait)).Truncate(time.Second)
 	}
 	r.deadline = now + wait + readGrace
 	s.emit(Read{ID: r.nextID, After: after, Wait: wait})
@@ -225,11 +225,5 @@
 		return
 	}
 	s.behind = revisionHeld
-	s.emit(Rejected{
-		Blob:     s.opts.Blob,
-		Reason:   ServiceBehind,
-		Identity: NewIdentity(revisionHeld, ""),
-		InForce:  current,
-		Source:   ServiceSource,
-	})
+	s.reject(NewIdentity(revisionHeld, ""), ServiceBehind, ServiceSource, nil)
 }
