Measure what control costs in fleets of several sizes

redwingctl capacity starts fleets of real nodes against stand-ins of the platform and reports processor time, memory, bytes, reads of the service and the time in which a document comes in force.

--- /dev/null
+++ b/internal/capacity/report.go
@@ -0,0 +1,201 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+)
+
+// Report is the result of a measurement. Times are in seconds, sizes in bytes.
+type Report struct {
+	Duration        float64 `json:"duration"`
+	ChangeInterval  float64 `json:"change_interval"`
+	RestartInterval float64 `json:"restart_interval"`
+	Points          []Point `json:"points"`
+	Fits            []Fit   `json:"fits"`
+}
+
+// Point is the result at one size.
+type Point struct {
+	Size    Size     `json:"size"`
+	Start   Start    `json:"start"`
+	Windows []Window `json:"windows"`
+	Spread  Spread   `json:"spread"`
+}
+
+// Start is the start of all nodes at once.
+type Start struct {
+	// Started is the time in which all processes were started, and Ready the time
+	// until the last one was ready.
+	Started float64 `json:"started"`
+	Ready   float64 `json:"ready"`
+	// Reads counts the reads of the platform's service until then.
+	Reads int `json:"reads"`
+	// CPU is the mean processor time of a node until then.
+	CPU float64 `json:"cpu"`
+}
+
+// Spread is the time until a document was in force on all nodes.
+type Spread struct {
+	Seconds  []float64 `json:"seconds"`
+	Greatest float64   `json:"greatest"`
+}
+
+// Window is the result of one mode at one size. Values are means over the nodes
+// that were not restarted, for each second.
+type Window struct {
+	Mode    Mode    `json:"mode"`
+	Seconds float64 `json:"seconds"`
+	Events  int     `json:"events"`
+	// ReadsPerSecond counts the reads of all nodes.
+	ReadsPerSecond float64 `json:"reads_per_second"`
+	// All is the mean over the fleet, Cell that over the nodes of the last cell,
+	// in which nodes are restarted.
+	All  Cost `json:"all"`
+	Cell Cost `json:"cell"`
+}
+
+// Cost is what one node spends.
+type Cost struct {
+	// Nodes is the number of nodes in the mean.
+	Nodes int `json:"nodes"`
+	// CPU is in seconds per second, and GreatestCPU that of the busiest node.
+	CPU         float64 `json:"cpu"`
+	GreatestCPU float64 `json:"greatest_cpu"`
+	// Resident, Anonymous and Heap are in bytes at the end.
+	Resident         float64 `json:"resident"`
+	GreatestResident float64 `json:"greatest_resident"`
+	Anonymous        float64 `json:"anonymous"`
+	Heap             float64 `json:"heap"`
+	Goroutines       float64 `json:"goroutines"`
+	// Read and Written are what the process passed to files and sockets.
+	Read       float64 `json:"read"`
+	Written    float64 `json:"written"`
+	WriteCalls float64 `json:"write_calls"`
+	// Sent and Received count the bytes of frames between nodes by message type.
+	Sent     map[string]float64 `json:"sent,omitempty"`
+	Received map[string]float64 `json:"received,omitempty"`
+}
+
+// Metrics of the nodes.
+const (
+	metricHeap       = "go_memstats_heap_alloc_bytes"
+	metricGoroutines = "go_goroutines"
+	metricSent       = "redwingshelf_peer_bytes_sent"
+	metricReceived   = "redwingshelf_peer_bytes_received"
+	tagType          = "type"
+)
+
+// add computes the costs of the nodes that ran all the time.
+func (w *Window) add(f *fleet, before, after []reading) {
+	var all, last []int
+	for i, p := range f.nodes {
+		if p.restarted {
+			continue
+		}
+		if i >= len(f.nodes)-cellSize {
+			last = append(last, i)
+		}
+		if i < len(f.nodes)-cellSize || w.Mode != ModeRestarts || len(f.nodes) <= cellSize {
+			all = append(all, i)
+		}
+	}
+	w.All = newCost(w.Seconds, before, after, all)
+	w.Cell = newCost(w.Seconds, before, after, last)
+}
+
+func newCost(seconds float64, before, after []reading, nodes []int) Cost {
+	c := Cost{Nodes: len(nodes), Sent: map[string]float64{}, Received: map[string]float64{}}
+	for _, i := range nodes {
+		share := 1 / float64(len(nodes))
+		a, b := before[i].sample, after[i].sample
+		cpu := (b.CPU - a.CPU) / seconds
+		c.CPU += cpu * share
+		c.GreatestCPU = max(c.GreatestCPU, cpu)
+		c.Resident += b.Resident * share
+		c.GreatestResident = max(c.GreatestResident, b.Resident)
+		c.Anonymous += b.Anonymous * share
+		c.Read += (b.Read - a.Read) / seconds * share
+		c.Written += (b.Written - a.Written) / seconds * share
+		c.WriteCalls += (b.WriteCalls - a.WriteCalls) / seconds * share
+		c.Heap += after[i].metrics.sum(metricHeap) * share
+		c.Goroutines += after[i].metrics.sum(metricGoroutines) * share
+		addRates(c.Sent, before[i].metrics, after[i].metrics, metricSent, share/seconds)
+		addRates(c.Received, before[i].metrics, after[i].metrics, metricReceived, share/seconds)
+	}
+	return c
+}
+
+func addRates(rates map[string]float64, before, after metrics, name string, scale float64) {
+	earlier := before.sums(name, tagType)
+	for message, value := range after.sums(name, tagType) {
+		rates[message] += (value - earlier[message]) * scale
+	}
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(max(len(values), 1))
+}
+
+// WriteText prints the report for people.
+func (r *Report) WriteText(w io.Writer) error {
+	t := newTable(w)
+	t.row("nodes\tleaves\tdocument\thost list\tstart s\tstart reads\tstart cpu s\tin force s")
+	for _, p := range r.Points {
+		t.row("%d\t%d\t%d\t%d\t%.2f\t%d\t%.2f\t%.2f", p.Size.Nodes, p.Size.Leaves, p.Size.DocumentBytes,
+			p.Size.HostListBytes, p.Start.Ready, p.Start.Reads, p.Start.CPU, p.Spread.Greatest)
+	}
+	t.row("")
+	t.row("nodes\tleaves\tmode\tevents\tcpu %%\tmax cpu %%\tcell cpu %%\trss MB\tmax rss MB\tanon MB\theap MB\tgoroutines\tread B/s\twritten B/s\twrites/s\treads/s")
+	for _, p := range r.Points {
+		for _, m := range p.Windows {
+			t.window(p.Size, m)
+		}
+	}
+	t.row("")
+	t.row("fit\tmode\tbasis\tcoefficients\tgreatest error\tat %d nodes", targetNodes)
+	for _, f := range r.Fits {
+		t.row("%s\t%s\t%s\t%s\t%.4g\t%.4g", f.Quantity, f.Mode, f.Basis, numbers(f.Coefficients), f.GreatestError, f.AtTarget)
+	}
+	for _, p := range r.Points {
+		for _, m := range p.Windows {
+			t.messages(p.Size, m)
+		}
+	}
+	return t.flush()
+}
+
+func (t *table) window(s Size, m Window) {
+	const percent, mega = 100, 1e6
+	c := m.All
+	t.row("%d\t%d\t%s\t%d\t%.3f\t%.3f\t%.3f\t%.1f\t%.1f\t%.1f\t%.1f\t%.0f\t%.0f\t%.0f\t%.1f\t%.2f",
+		s.Nodes, s.Leaves, m.Mode, m.Events, c.CPU*percent, c.GreatestCPU*percent, m.Cell.CPU*percent,
+		c.Resident/mega, c.GreatestResident/mega, c.Anonymous/mega, c.Heap/mega, c.Goroutines,
+		c.Read, c.Written, c.WriteCalls, m.ReadsPerSecond)
+}
+
+// messages prints the bytes that a node sends by message type.
+func (t *table) messages(s Size, m Window) {
+	var parts []string
+	for message, rate := range m.All.Sent {
+		parts = append(parts, fmt.Sprintf("%s %.0f", message, rate))
+	}
+	if len(parts) == 0 {
+		return
+	}
+	slices.Sort(parts)
+	t.row("%d\t%d\t%s\tsent B/s: %s", s.Nodes, s.Leaves, m.Mode, strings.Join(parts, ", "))
+}
+
+func numbers(values []float64) string {
+	texts := make([]string, len(values))
+	for i, v := range values {
+		texts[i] = fmt.Sprintf("%.4g", v)
+	}
+	return strings.Join(texts, " ")
+}
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -59,6 +59,7 @@
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions(
 		[]string{string(outputText), string(outputJSON)}, cobra.ShellCompDirectiveNoFileComp))
 	root.AddCommand(
+		newCapacityCommand(&format),
 		newCheckCommand(&format),
 		newDemoCommand(&format),
 		newDiffCommand(&format),
