--- /dev/null
+++ b/internal/capacity/placement.go
@@ -0,0 +1,148 @@
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/redwingshelf/redwingshelf/internal/document"
+	"github.com/redwingshelf/redwingshelf/internal/placement"
+)
+
+const (
+	// sampledQueries is the number of queries of which a mean is computed.
+	sampledQueries = 200
+	placementSeed  = 1
+)
+
+// Placement is what placement gives to hosts and queries at one size. It is
+// computed without running any node.
+type Placement struct {
+	Nodes  int `json:"nodes"`
+	Leaves int `json:"leaves"`
+	// Shares, and GreatestShares, count the shares of a host.
+	Shares         float64 `json:"shares"`
+	GreatestShares int     `json:"greatest_shares"`
+	// SharesAsDeputy counts the shares that a host may take over.
+	SharesAsDeputy float64 `json:"shares_as_deputy"`
+	// Slots, and GreatestSlots, count the slots of a host.
+	Slots         float64 `json:"slots"`
+	GreatestSlots int     `json:"greatest_slots"`
+	// Connections is what a host opens to leaves if it uses all its own shares.
+	Connections float64 `json:"connections"`
+	// LeafConnections is the greatest number of connections to one leaf from
+	// owners, deputies and their predecessors, and LeafBound its limit.
+	LeafConnections int `json:"leaf_connections"`
+	LeafBound       int `json:"leaf_bound"`
+	// QueryLeaves is the number of leaves of one query, and QueryHolders the mean
+	// number of hosts that it calls, with a random replica of each shard.
+	QueryLeaves  int     `json:"query_leaves"`
+	QueryHolders float64 `json:"query_holders"`
+	// InstanceHolders is the mean number of hosts if a query took whole instances
+	// and one owner for each.
+	InstanceHolders float64 `json:"instance_holders"`
+}
+
+// Place computes the placement of the designed document on a number of hosts.
+func Place(nodes, leaves int) (*Placement, error) {
+	f := &fleet{options: &Options{}}
+	var err error
+	if f.doc, err = newDocument(leaves); err != nil {
+		return nil, err
+	}
+	hosts := make([]placement.Host, nodes)
+	for i := range hosts {
+		cell := i / cellSize
+		centres := f.regionCentres(cell)
+		centre := centres[i%len(centres)]
+		hosts[i] = placement.Host{
+			Name:       fmt.Sprintf("host-%03d", i),
+			DataCentre: centre,
+			Region:     f.region(centre),
+			Cell:       fmt.Sprintf("cell-%02d", cell),
+		}
+	}
+	planner, err := placement.NewPlanner(hosts)
+	if err != nil {
+		return nil, err
+	}
+	f.doc.Normalize()
+	plan := planner.Plan(f.doc)
+	p := &Placement{Nodes: nodes, Leaves: len(plan.Leaves)}
+	p.countShares(plan)
+	p.countHolders(f.doc, plan)
+	return p, nil
+}
+
+func (p *Placement) countShares(plan *placement.Table) {
+	shares, slots := map[string]int{}, map[string]int{}
+	for _, leaf := range plan.Leaves {
+		connections := 0
+		for _, share := range leaf.Shares {
+			const seatProcesses = 2
+			shares[share.Owner]++
+			slots[share.Owner] += share.Slots
+			p.Shares += 1 / float64(p.Nodes)
+			p.Slots += float64(share.Slots) / float64(p.Nodes)
+			p.Connections += float64(share.Connections) / float64(p.Nodes)
+			connections += seatProcesses * (share.Connections + share.DeputyConnections)
+			if share.Deputy != "" {
+				p.SharesAsDeputy += 1 / float64(p.Nodes)
+			}
+		}
+		if connections > p.LeafConnections {
+			p.LeafConnections, p.LeafBound = connections, leaf.ConnectionBound
+		}
+	}
+	for host, n := range shares {
+		p.GreatestShares = max(p.GreatestShares, n)
+		p.GreatestSlots = max(p.GreatestSlots, slots[host])
+	}
+}
+
+// countHolders computes how many hosts a query of the first service calls.
+func (p *Placement) countHolders(doc *document.Document, plan *placement.Table) {
+	customer, service := doc.Deployments[0].Customer, doc.Deployments[0].Services[0]
+	id := placement.ServiceID(customer, service.Name)
+	replicas := map[string][]placement.Leaf{}
+	for _, instance := range service.Instances {
+		for _, leaf := range instance.Leaves {
+			placed, _ := plan.Leaf(placement.LeafID(customer, service.Name, instance.Name, leaf.Name))
+			if placed.Service == id {
+				replicas[leaf.Shard] = append(replicas[leaf.Shard], placed)
+			}
+		}
+	}
+	p.QueryLeaves = len(service.Shards)
+	rng := rand.New(rand.NewPCG(placementSeed, 0))
+	for range sampledQueries {
+		p.QueryHolders += float64(len(randomHolders(rng, service.Shards, replicas))) / sampledQueries
+		p.InstanceHolders += float64(len(instanceHolders(rng, service.Shards, replicas))) / sampledQueries
+	}
+}
+
+// randomHolders returns the hosts of a query that takes a random replica of each
+// shard and a random owner of each leaf.
+func randomHolders(rng *rand.Rand, shards []string, replicas map[string][]placement.Leaf) map[string]bool {
+	hosts := map[string]bool{}
+	for _, shard := range shards {
+		leaf := replicas[shard][rng.IntN(len(replicas[shard]))]
+		hosts[leaf.Shares[rng.IntN(len(leaf.Shares))].Owner] = true
+	}
+	return hosts
+}
+
+// instanceHolders returns the hosts of a query that takes all leaves of an
+// instance through one owner. The instances are replicas of each other.
+func instanceHolders(rng *rand.Rand, shards []string, replicas map[string][]placement.Leaf) map[string]bool {
+	hosts := map[string]bool{}
+	owners := map[string]string{}
+	round := rng.IntN(len(replicas[shards[0]]))
+	for _, shard := range shards {
+		leaf := replicas[shard][round%len(replicas[shard])]
+		if owners[leaf.Group] == "" {
+			owners[leaf.Group] = leaf.Shares[rng.IntN(len(leaf.Shares))].Owner
+		}
+		hosts[owners[leaf.Group]] = true
+	}
+	return hosts
+}
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -14,6 +14,8 @@
 	RestartInterval float64 `json:"restart_interval"`
 	Points          []Point `json:"points"`
 	Fits            []Fit   `json:"fits"`
+	// Placements are computed for each size and for the target size.
+	Placements []Placement `json:"placements"`
 }
 
 // Point is the result at one size.
@@ -162,11 +164,18 @@
 	for _, f := range r.Fits {
 		t.row("%s\t%s\t%s\t%s\t%.4g\t%.4g", f.Quantity, f.Mode, f.Basis, numbers(f.Coefficients), f.GreatestError, f.AtTarget)
 	}
+	t.row("")
 	for _, p := range r.Points {
 		for _, m := range p.Windows {
 			t.messages(p.Size, m)
 		}
 	}
+	t.row("")
+	t.row("nodes\tleaves\tshares\tmax shares\tslots\tmax slots\tconnections\tof leaf\tbound\tquery leaves\tholders\tby instance")
+	for _, p := range r.Placements {
+		t.row("%d\t%d\t%.1f\t%d\t%.1f\t%d\t%.1f\t%d\t%d\t%d\t%.1f\t%.1f", p.Nodes, p.Leaves, p.Shares, p.GreatestShares,
+			p.Slots, p.GreatestSlots, p.Connections, p.LeafConnections, p.LeafBound, p.QueryLeaves, p.QueryHolders, p.InstanceHolders)
+	}
 	return t.flush()
 }
 
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -33,7 +33,20 @@
 		}
 	}
 	report.fit()
-	return report, nil
+	return report, report.place(&o)
+}
+
+// place computes the placements of every size.
+func (r *Report) place(o *Options) error {
+	leaves := slices.Max(o.Leaves)
+	for _, n := range append(slices.Clone(o.Nodes), targetNodes) {
+		p, err := Place(n, leaves)
+		if err != nil {
+			return fmt.Errorf("place %d leaves on %d nodes: %w", leaves, n, err)
+		}
+		r.Placements = append(r.Placements, *p)
+	}
+	return nil
 }
 
 func measure(ctx context.Context, o *Options, n, leaves int) (point *Point, err error) {
--- a/internal/ctl/capacity.go
+++ b/internal/ctl/capacity.go
@@ -23,8 +23,8 @@
 idle, changes (new documents), hosts (new host lists) and restarts (planned stops
 and kills in the last cell). It then times documents until they are in force on
 all nodes, and extends straight lines through the points to 600 nodes.`,
-		Example: `  go build -o /tmp/redwingshelf ./cmd/redwingshelf
-  redwingctl capacity --node-binary /tmp/redwingshelf --nodes 6,12,24,48,96`,
+		Example: `  redwingctl capacity --node-binary ./redwingshelf
+  redwingctl capacity --node-binary ./redwingshelf --nodes 24 --leaves 470,4700 --output json`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, stop := signalContext(cmd.Context())
