Bound the requests in progress and require a host list

Three limits of the settings were checked and used nowhere. max_requests now refuses further requests as overloaded, not run; max_answer_bytes and max_frame_bytes are gone, since the bounds are part of the contracts. The screen controller wakes up only while records wait to be sent.

--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -38,6 +38,22 @@
 	}
 }
 
+// Limit refuses requests while more than max are in progress.
+func Limit(max int) Filter {
+	slots := make(chan struct{}, max)
+	return func(next Handler) Handler {
+		return func(ctx context.Context, r *Request) (*Answer, error) {
+			select {
+			case slots <- struct{}{}:
+				defer func() { <-slots }()
+				return next(ctx, r)
+			default:
+				return nil, kind.Errorf(kind.Overloaded, "this host has %d requests in progress", max)
+			}
+		}
+	}
+}
+
 // Identify looks the customer and service up in the document in force and fills
 // in the class.
 func Identify(router Router) Filter {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -213,6 +213,7 @@
 	}
 	handler := entry.Chain(last,
 		entry.Measure(n.scope.SubScope("entry")),
+		entry.Limit(n.settings.Limits.MaxRequests),
 		entry.Identify(n.table),
 		entry.Deadline(),
 		entry.AtMostOnce(n.tickets),
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -61,6 +61,9 @@
 	return numbers
 }
 
+// Idle reports whether nothing is on its way.
+func (s *Spread) Idle() bool { return len(s.deliveries) == 0 }
+
 // Due calls send for each batch and peer that is due.
 func (s *Spread) Due(now time.Duration, send func(peer string, batch Batch)) {
 	kept := s.deliveries[:0]
--- a/internal/screen/controller.go
+++ b/internal/screen/controller.go
@@ -38,6 +38,8 @@
 type Controller struct {
 	options Options
 	start   time.Time
+	// wake receives when records wait to be sent.
+	wake chan struct{}
 	// mu guards tracker and spread.
 	mu      sync.Mutex
 	tracker *quarantine.Tracker
@@ -46,25 +48,48 @@
 
 // New returns a controller; Run starts it.
 func New(o Options) *Controller {
-	return &Controller{options: o, start: time.Now(), tracker: quarantine.NewTracker(quarantine.DefaultOptions())}
+	return &Controller{
+		options: o,
+		start:   time.Now(),
+		wake:    make(chan struct{}, 1),
+		tracker: quarantine.NewTracker(quarantine.DefaultOptions()),
+	}
 }
 
 func (c *Controller) now() time.Duration { return time.Since(c.start) }
 
 // Run sends the records that are due until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(spreadInterval)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-c.wake:
+			c.sendUntilIdle(ctx)
+		}
+	}
+}
+
+// sendUntilIdle sends records until each host has acknowledged them.
+func (c *Controller) sendUntilIdle(ctx context.Context) {
+	ticker := time.NewTicker(spreadInterval)
+	defer ticker.Stop()
+	for !c.idle() {
+		select {
+		case <-ctx.Done():
+			return
 		case <-ticker.C:
 			c.sendDue()
 		}
 	}
 }
 
+func (c *Controller) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.spread.Idle()
+}
+
 func (c *Controller) sendDue() {
 	type message struct {
 		host  string
@@ -197,6 +222,10 @@
 	numbers := c.spread.Start(c.now(), records, hosts)
 	c.mu.Unlock()
 	c.sendDue()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
 	ticker := time.NewTicker(settleInterval)
 	defer ticker.Stop()
 	for !c.settled(numbers) {
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -14,8 +14,6 @@
 		Limits: Limits{
 			MaxBodyBytes:   1 * mebibyte,
 			MaxHeaderBytes: 16 * kibibyte,
-			MaxAnswerBytes: 4 * mebibyte,
-			MaxFrameBytes:  8 * mebibyte,
 			MaxRequests:    2_000,
 			ReadTimeoutMS:  10_000,
 			WriteTimeoutMS: 60_000,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,7 +38,7 @@
 	// ConfigurationService is the URL at which the document is read and watched.
 	ConfigurationService string `json:"configuration_service"`
 	// HostList is the URL of the platform's list of live and leaving hosts, which
-	// may also give addresses to targets. Without it only the seed list is used.
+	// may also give addresses to targets.
 	HostList string `json:"host_list"`
 	// Targets gives addresses to targets. They take precedence over those of the
 	// host list.
@@ -76,10 +76,6 @@
 	MaxBodyBytes int `json:"max_body_bytes"`
 	// MaxHeaderBytes is the greatest size of a caller's request headers.
 	MaxHeaderBytes int `json:"max_header_bytes"`
-	// MaxAnswerBytes is the greatest size of one leaf's answer.
-	MaxAnswerBytes int `json:"max_answer_bytes"`
-	// MaxFrameBytes is the greatest size of a frame between hosts.
-	MaxFrameBytes int `json:"max_frame_bytes"`
 	// MaxRequests is the greatest number of callers' requests in progress.
 	MaxRequests int `json:"max_requests"`
 	// ReadTimeoutMS bounds the time a caller takes to send a request.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -49,9 +49,7 @@
 	s.validateListeners(c)
 	s.validatePeers(c)
 	c.url(s.ConfigurationService, "/configuration_service")
-	if s.HostList != "" {
-		c.url(s.HostList, "/host_list")
-	}
+	c.url(s.HostList, "/host_list")
 	s.validateTargets(c)
 	s.validateLimits(c)
 }
@@ -90,11 +88,8 @@
 	}
 }
 
-// validateTargets checks that target addresses come from somewhere.
+// validateTargets checks the addresses of targets.
 func (s *Settings) validateTargets(c checker) {
-	if len(s.Targets) == 0 && s.HostList == "" {
-		c.report.Add(CodeMissing, "/targets", "targets is needed without a host_list that gives their addresses")
-	}
 	for _, name := range slices.Sorted(maps.Keys(s.Targets)) {
 		c.url(s.Targets[name], jsonc.Path("/targets").Key(name))
 	}
@@ -105,17 +100,11 @@
 	l := s.Limits
 	c.inRange(l.MaxBodyBytes, 1, maxSizeBytes, path.Key("max_body_bytes"))
 	c.inRange(l.MaxHeaderBytes, kibibyte, maxSizeBytes, path.Key("max_header_bytes"))
-	c.inRange(l.MaxAnswerBytes, 1, maxSizeBytes, path.Key("max_answer_bytes"))
-	c.inRange(l.MaxFrameBytes, mebibyte, maxSizeBytes, path.Key("max_frame_bytes"))
 	c.inRange(l.MaxRequests, 1, maxRequests, path.Key("max_requests"))
 	c.inRange(l.ReadTimeoutMS, 1, maxTimeoutMS, path.Key("read_timeout_ms"))
 	c.inRange(l.WriteTimeoutMS, 1, maxTimeoutMS, path.Key("write_timeout_ms"))
 	c.inRange(l.IdleTimeoutMS, 1, maxTimeoutMS, path.Key("idle_timeout_ms"))
 	c.inRange(s.Stop.BalancerLagMS, 0, maxTimeoutMS, "/stop/balancer_lag_ms")
-	if l.MaxAnswerBytes > l.MaxFrameBytes {
-		c.report.Add(CodeConflict, path.Key("max_answer_bytes"),
-			"%d is more than max_frame_bytes, %d", l.MaxAnswerBytes, l.MaxFrameBytes)
-	}
 }
 
 // checker reports problems of single values.
