Wait for shares that move, read documents once, and group a query's leaves

A fleet that started while a listed host was silent never used any share: the shares want the host list confirmed by the platform after the start, and only a new revision was passed on. Reads that find nothing newer are now passed on too.

While shares move, every holder of a leaf may refuse for a moment; a query then answered without that part at once. It now asks the holders again after 25 to 200 ms, while its deadline allows; so does a request with a ticket.

A document was parsed twice, to check and to use it; the memory of both stayed with the process. A node reported ready before calls of an earlier process could have ended. A second signal ends the wait for the balancer and nothing else.

--- a/internal/blob/controller.go
+++ b/internal/blob/controller.go
@@ -23,9 +23,11 @@
 
 const (
 	// readSlack is the time past a watch's wait after which the read is given up.
-	readSlack      = 2 * time.Second
-	inboxSize      = 1024
-	headerRevision = "X-Revision"
+	readSlack = 2 * time.Second
+	inboxSize = 1024
+	// confirmedWithin is the greatest age of a read that counts as one now.
+	confirmedWithin = time.Second
+	headerRevision  = "X-Revision"
 )
 
 // Options configure a Controller.
@@ -37,6 +39,9 @@
 	Send func(address string, t wire.Type, message any) bool
 	// OnAccepted is called, in order, with each revision that comes in force.
 	OnAccepted func(confsync.Accepted)
+	// OnConfirmed is called when the service has been read without a newer
+	// revision; it may be nil.
+	OnConfirmed func()
 	// OnReady is called once the node may serve.
 	OnReady func(confsync.BecameReady)
 	Logger  *zap.Logger
@@ -51,6 +56,8 @@
 	events  chan func(now time.Duration) []confsync.Action
 	wg      sync.WaitGroup
 	syncer  *confsync.Syncer
+	// confirmedAt is the last read of the service that was reported.
+	confirmedAt time.Duration
 	// mu guards state.
 	mu    sync.Mutex
 	state State
@@ -101,6 +108,19 @@
 		for _, action := range actions {
 			c.perform(ctx, action)
 		}
+		c.checkConfirmed()
+	}
+}
+
+// checkConfirmed reports a recent read of the service once.
+func (c *Controller) checkConfirmed() {
+	at, confirmed := c.syncer.ConfirmedAt()
+	if !confirmed || at <= c.confirmedAt {
+		return
+	}
+	c.confirmedAt = at
+	if c.options.OnConfirmed != nil && time.Since(c.start)-at < confirmedWithin {
+		c.options.OnConfirmed()
 	}
 }
 
--- a/internal/confsync/reader.go
+++ b/internal/confsync/reader.go
@@ -49,6 +49,12 @@
 	}
 }
 
+// ConfirmedAt returns when the service was last read by this node, or by a peer
+// from which it heard so, and false if it never was.
+func (s *Syncer) ConfirmedAt() (time.Duration, bool) {
+	return s.reader.confirmedAt, s.reader.confirmed
+}
+
 // confirmedWithin reports whether the service was read in the last d.
 func (r *reader) confirmedWithin(now, d time.Duration) bool {
 	return r.confirmed && now-r.confirmedAt <= d
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -246,7 +246,7 @@
 	s.cancel = cancel
 	s.group = new(errgroup.Group)
 	for _, h := range s.nodes {
-		s.group.Go(func() error { return h.node.Run(ctx) })
+		s.group.Go(func() error { return h.node.Run(ctx, nil) })
 	}
 }
 
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -40,7 +40,7 @@
 	require.Empty(t, load.errors)
 	for _, a := range load.answers {
 		require.Equal(t, http.StatusOK, a.Status, "%s: %s", a.Kind, a.Message)
-		require.Equal(t, a.Coverage.Total, a.Coverage.Covered)
+		require.Equal(t, a.Coverage.Total, a.Coverage.Covered, "%v", a.Coverage.Missing)
 	}
 	c.requireWithinBounds()
 }
--- a/internal/entry/pick_holder.go
+++ b/internal/entry/pick_holder.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"math/rand/v2"
+	"hash/maphash"
 	"slices"
 	"time"
 
@@ -30,7 +30,7 @@
 // the expected time in nanoseconds of a call through it. Owners that serve go
 // first, then deputies, then hosts that are down; among equals the shortest
 // expected time decides, and the first holder of a leaf in its cold start.
-func (s *serviceState) pickHolder(now time.Duration, router Router, leaf string, tried []string) (Host, float64, bool) {
+func (s *serviceState) pickHolder(now time.Duration, router Router, leaf string, tried []string, bias hostBias) (Host, float64, bool) {
 	var best Host
 	var least float64
 	found := false
@@ -41,7 +41,7 @@
 			continue
 		}
 		rank := holderRank(router, host)
-		expected := replica.Expected(now, s.stats(leaf, host.Name), host.Slots) * (1 + tieBreak*rand.Float64())
+		expected := replica.Expected(now, s.stats(leaf, host.Name), host.Slots) * bias.of(host.Name)
 		better := !found || rank < bestRank || rank == bestRank && warm && expected < least
 		if better {
 			best = host
@@ -53,6 +53,22 @@
 	return best, least, found
 }
 
-// tieBreak is the greatest share by which an expected time is lengthened at
-// random, so that equal holders are chosen alike.
-const tieBreak = 0.05
+const (
+	// maxBias is the greatest share by which an expected time is lengthened.
+	maxBias = 0.2
+	// biasSteps is the number of different biases.
+	biasSteps = 1024
+)
+
+// hostBias lengthens the expected times of hosts at random, alike for all leaves
+// of a query. Of equal holders a query then asks the same few hosts, in fewer
+// messages, and queries choose different ones.
+type hostBias maphash.Seed
+
+func newHostBias() hostBias { return hostBias(maphash.MakeSeed()) }
+
+// of returns the factor for the expected time of a host.
+func (b hostBias) of(host string) float64 {
+	step := maphash.String(maphash.Seed(b), host) % biasSteps
+	return 1 + maxBias*float64(step)/biasSteps
+}
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -56,10 +56,11 @@
 		request:  r,
 		state:    state,
 		answerBy: now + time.Until(r.Deadline) - answerMargin,
+		bias:     newHostBias(),
 		events:   make(chan searchEvent, len(r.Target.Shards)),
 	}
 	state.mu.Lock()
-	cost := state.cost(now, s.router, r.Index)
+	cost := state.cost(now, s.router, r.Index, run.bias)
 	run.query = state.know.NewQuery(now, run.answerBy, state.shards, cost)
 	plan := run.query.Plan()
 	refresh, due := state.know.NextRefresh(now, state.shards)
@@ -84,7 +85,7 @@
 // refresh asks a holder, beside any query, which snapshots a leaf holds.
 func (s *Searcher) refresh(state *serviceState, leaf string) {
 	state.mu.Lock()
-	host, _, found := state.pickHolder(s.states.now(), s.router, leaf, nil)
+	host, _, found := state.pickHolder(s.states.now(), s.router, leaf, nil, newHostBias())
 	state.mu.Unlock()
 	if !found {
 		return
--- a/internal/entry/search_retry.go
+++ b/internal/entry/search_retry.go
@@ -1,11 +1,20 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/redwingshelf/redwingshelf/internal/kind"
 	"github.com/redwingshelf/redwingshelf/internal/quarantine"
 	"github.com/redwingshelf/redwingshelf/internal/snapshot"
 )
 
+const (
+	// firstBackoff is the time before the holders of a leaf are asked again. It
+	// doubles with each round.
+	firstBackoff = 25 * time.Millisecond
+	maxBackoffs  = 4
+)
+
 // failLeaf goes on after a call without an answer: with another holder of the
 // leaf, another leaf, another snapshot, or without that part.
 func (run *searchRun) failLeaf(leaf string, k kind.Kind) {
@@ -33,6 +42,42 @@
 		run.try(action.Leaf, call.part, nil)
 	case snapshot.StepRestart:
 		run.begin(action.Plan)
+	default:
+		run.tryLater(call, k)
+	}
+}
+
+// tryLater asks the holders of a leaf again after a while, if none may use it now
+// and no other leaf covers its part: shares move between hosts within seconds.
+func (run *searchRun) tryLater(call *leafCall, k kind.Kind) {
+	at := run.now() + firstBackoff<<call.backoffs
+	if !holderMatters(k) || call.backoffs >= maxBackoffs || at >= run.answerBy {
+		return
+	}
+	call.backoffs++
+	call.retryAt = at
+	call.ended = false
+	call.tried = nil
+	run.collector.Expect(call.choice.Leaf, call.choice.Shard, call.choice.Range)
+	run.waiting = append(run.waiting, call)
+}
+
+// retryDue asks the holders of the leaves whose time has come.
+func (run *searchRun) retryDue() {
+	now := run.now()
+	waiting := run.waiting
+	run.waiting = nil
+	for _, call := range waiting {
+		if call.ended {
+			continue
+		}
+		if now < call.retryAt {
+			run.waiting = append(run.waiting, call)
+			continue
+		}
+		if host, found := run.nextHolder(call); found {
+			run.send(host, []string{call.choice.Leaf})
+		}
 	}
 }
 
--- a/internal/entry/search_run.go
+++ b/internal/entry/search_run.go
@@ -22,6 +22,10 @@
 	part *partCalls
 	// permit is set for a call on trial.
 	permit *quarantine.Permit
+	// backoffs counts the rounds of holders that have been waited for, and retryAt
+	// is when the next one begins.
+	backoffs int
+	retryAt  time.Duration
 	// ended is set once the call needs no further result.
 	ended bool
 }
@@ -43,6 +47,7 @@
 	state      *serviceState
 	query      *snapshot.Query
 	answerBy   time.Duration
+	bias       hostBias
 	collector  *coverage.Collector
 	events     chan searchEvent
 	generation int
@@ -52,6 +57,8 @@
 	answered   int
 	batches    []*batch
 	hedging    hedging
+	// waiting holds the calls whose holders are asked again later.
+	waiting []*leafCall
 }
 
 func (run *searchRun) now() time.Duration { return run.searcher.states.now() }
@@ -62,6 +69,7 @@
 	run.generation++
 	run.answered = 0
 	run.parts = nil
+	run.waiting = nil
 	run.calls = make(map[string]*leafCall, len(plan.Choices))
 	run.collector = coverage.New(plan.Snapshot, run.request.Limit, len(plan.Choices))
 	groups := map[Host][]string{}
@@ -96,7 +104,7 @@
 func (run *searchRun) nextHolder(call *leafCall) (Host, bool) {
 	run.state.mu.Lock()
 	defer run.state.mu.Unlock()
-	host, _, found := run.state.pickHolder(run.now(), run.searcher.router, call.choice.Leaf, call.tried)
+	host, _, found := run.state.pickHolder(run.now(), run.searcher.router, call.choice.Leaf, call.tried, run.bias)
 	if found {
 		call.tried = append(call.tried, host.Name)
 	}
@@ -129,6 +137,7 @@
 			run.handle(e)
 		case <-timer.C:
 			run.hedgeDue()
+			run.retryDue()
 		case <-run.ctx.Done():
 			if run.now() < run.answerBy {
 				return nil, kind.Errorf(kind.Canceled, "the caller went away")
@@ -144,6 +153,9 @@
 	if run.hedging.at > 0 {
 		at = min(at, run.hedging.at)
 	}
+	for _, call := range run.waiting {
+		at = min(at, call.retryAt)
+	}
 	return max(at-run.now(), 0)
 }
 
--- a/internal/entry/service_state.go
+++ b/internal/entry/service_state.go
@@ -148,14 +148,14 @@
 
 // cost returns the function that prefers the leaves with the shortest expected
 // time. It must be called under mu.
-func (s *serviceState) cost(now time.Duration, router Router, index *document.Index) snapshot.CostFunc {
+func (s *serviceState) cost(now time.Duration, router Router, index *document.Index, bias hostBias) snapshot.CostFunc {
 	probe := rand.Float64() < probeShare
 	return func(leaf string) (float64, bool) {
 		entry := index.Leaf(index.LeafID(leaf))
 		if entry == nil || !entry.AcceptsWork() {
 			return 0, false
 		}
-		host, expected, found := s.pickHolder(now, router, leaf, nil)
+		host, expected, found := s.pickHolder(now, router, leaf, nil, bias)
 		if !found {
 			return 0, false
 		}
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"slices"
+	"time"
 
 	"github.com/redwingshelf/redwingshelf/internal/kind"
 	"github.com/redwingshelf/redwingshelf/internal/wire"
@@ -33,16 +34,42 @@
 }
 
 func (s *Submitter) submit(ctx context.Context, r *Request) (*Answer, error) {
-	err := error(kind.Errorf(kind.Unavailable, "no leaf can take the request now"))
 	if r.MarkSent != nil && !r.MarkSent() {
 		return nil, kind.Errorf(kind.AlreadyRunning, "the request's ticket is no longer good")
 	}
 	attempt := 0
+	for round := 0; ; round++ {
+		answer, err := s.round(ctx, r, &attempt)
+		if err == nil || !notRun(err) || !holderMatters(kind.Of(err)) || !waitRound(ctx, round) {
+			return answer, err
+		}
+	}
+}
+
+// waitRound waits before the leaves of a request are tried again, and returns
+// false if there is no time left for that.
+func waitRound(ctx context.Context, round int) bool {
+	if round >= maxBackoffs {
+		return false
+	}
+	timer := time.NewTimer(firstBackoff << round)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// round tries each leaf of the request's shard through each of its holders.
+func (s *Submitter) round(ctx context.Context, r *Request, attempt *int) (*Answer, error) {
+	err := error(kind.Errorf(kind.Unavailable, "no leaf can take the request now"))
 	for _, leaf := range s.leaves(r) {
 		for _, host := range s.hosts(leaf) {
-			attempt++
+			*attempt++
 			var answer *Answer
-			answer, err = s.try(ctx, r, host, leaf, attempt)
+			answer, err = s.try(ctx, r, host, leaf, *attempt)
 			if err == nil {
 				return answer, nil
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -17,9 +18,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/redwingshelf/redwingshelf/internal/blob"
+	"github.com/redwingshelf/redwingshelf/internal/document"
 	"github.com/redwingshelf/redwingshelf/internal/entry"
 	"github.com/redwingshelf/redwingshelf/internal/fleet"
 	"github.com/redwingshelf/redwingshelf/internal/holder"
+	"github.com/redwingshelf/redwingshelf/internal/hostlist"
 	"github.com/redwingshelf/redwingshelf/internal/once"
 	"github.com/redwingshelf/redwingshelf/internal/peer"
 	"github.com/redwingshelf/redwingshelf/internal/permit"
@@ -56,6 +59,11 @@
 	self        once.Process
 	tickets     *entry.Tickets
 	forwarded   entry.Handler
+	// checked is the document that the controller of the configuration has
+	// checked last; only its goroutine uses it.
+	checked *document.Loaded
+	// hostList is the list in force; only the goroutine of its controller uses it.
+	hostList    *hostlist.List
 	config      *blob.Controller
 	hosts       *blob.Controller
 	configReady chan struct{}
@@ -136,8 +144,9 @@
 	}
 }
 
-// Run serves until ctx ends, and then stops without cutting off any request.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves until ctx ends, and then stops without cutting off any request. A
+// receive from hurry ends the wait for the balancer early; nothing else.
+func (n *Node) Run(ctx context.Context, hurry <-chan os.Signal) error {
 	defer func() { _ = n.closer.Close() }()
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -156,7 +165,7 @@
 		defer cancel()
 		select {
 		case <-ctx.Done():
-			return n.stop()
+			return n.stop(hurry)
 		case err := <-n.failed:
 			return errors.Join(err, n.close())
 		case <-groupCtx.Done():
@@ -178,13 +187,16 @@
 
 // stop ends the node in order: it reports not ready, serves on while the
 // balancer lags, waits for running requests and then closes.
-func (n *Node) stop() error {
+func (n *Node) stop(hurry <-chan os.Signal) error {
 	n.stopping.Store(true)
 	n.fleet.SetLeaving()
 	n.announce()
 	n.tickets.Stop()
 	n.logger.Info("node stopping")
-	time.Sleep(n.settings.Stop.BalancerLag())
+	select {
+	case <-time.After(n.settings.Stop.BalancerLag()):
+	case <-hurry:
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	err := n.callers.Shutdown(ctx)
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -9,9 +9,9 @@
 
 const (
 	readyInterval = 20 * time.Millisecond
-	// sharesBound is the time after which a node without shares serves as an
-	// entry all the same.
-	sharesBound = 5 * time.Second
+	// sharesSlack is the time past the longest call of an earlier process after
+	// which a node without shares serves as an entry all the same.
+	sharesSlack = 5 * time.Second
 )
 
 // becomeReady makes the node ready once its document and host list are known to
@@ -36,7 +36,7 @@
 }
 
 func (n *Node) awaitShares(ctx context.Context) bool {
-	bound := time.NewTimer(sharesBound)
+	bound := time.NewTimer(n.longestDeadline() + sharesSlack)
 	defer bound.Stop()
 	ticker := time.NewTicker(readyInterval)
 	defer ticker.Stop()
@@ -53,3 +53,13 @@
 		}
 	}
 }
+
+// longestDeadline returns the longest deadline of the services in force. Shares
+// can't be used before calls of an earlier process must have ended.
+func (n *Node) longestDeadline() time.Duration {
+	var longest time.Duration
+	for _, service := range n.table.Index().Services() {
+		longest = max(longest, service.Policy.Deadline())
+	}
+	return longest
+}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"runtime/debug"
 	"sync"
 
 	"go.uber.org/zap"
@@ -114,36 +115,45 @@
 }
 
 func (n *Node) newConfigController() *blob.Controller {
-	o := n.blobOptions(blobConfig, n.settings.ConfigurationService, checkDocument)
+	o := n.blobOptions(blobConfig, n.settings.ConfigurationService, n.checkDocument)
 	o.OnAccepted = n.documentAccepted
 	o.OnReady = func(confsync.BecameReady) { close(n.configReady) }
 	return blob.New(o)
 }
 
-func checkDocument(data []byte) (confsync.Identity, error) {
+// checkDocument loads a document and keeps it until it is accepted.
+func (n *Node) checkDocument(data []byte) (confsync.Identity, error) {
 	loaded, err := document.Load(data)
 	if err != nil {
 		return confsync.Identity{}, err
 	}
+	n.checked = loaded
 	return confsync.NewIdentity(loaded.Identity.Revision, loaded.Identity.Digest), nil
 }
 
 func (n *Node) documentAccepted(a confsync.Accepted) {
-	loaded, err := document.Load(a.Bytes)
-	if err != nil {
-		n.logger.Error("accepted document can't be loaded", zap.Error(err))
-		return
+	loaded := n.checked
+	n.checked = nil
+	if loaded == nil || loaded.Identity.Digest != a.Identity.Digest {
+		var err error
+		loaded, err = document.Load(a.Bytes)
+		if err != nil {
+			n.logger.Error("accepted document can't be loaded", zap.Error(err))
+			return
+		}
 	}
 	n.holder.SetIndex(loaded.Index)
 	n.permits.SetDocument(loaded)
 	n.table.SetDocument(loaded)
 	n.announce()
+	debug.FreeOSMemory()
 }
 
 func (n *Node) newHostsController() *blob.Controller {
 	o := n.blobOptions(blobHosts, n.settings.HostList, checkHosts)
 	o.OnAccepted = n.hostsAccepted
 	o.OnReady = func(confsync.BecameReady) { close(n.hostsReady) }
+	o.OnConfirmed = n.hostsConfirmed
 	return blob.New(o)
 }
 
@@ -167,9 +177,19 @@
 		n.logger.Error("host list can't be placed on", zap.Error(err))
 		return
 	}
-	if err := n.permits.SetHosts(list.Revision, routing.PlacementHosts(list)); err != nil {
-		n.logger.Error("host list can't divide the shares", zap.Error(err))
-	}
+	n.hostList = list
+	n.hostsConfirmed()
 	n.fleet.SetHosts(memberHosts(list))
 	n.announce()
 }
+
+// hostsConfirmed passes the host list in force to the shares, when it comes in
+// force and when the platform has named it again.
+func (n *Node) hostsConfirmed() {
+	if n.hostList == nil {
+		return
+	}
+	if err := n.permits.SetHosts(n.hostList.Revision, routing.PlacementHosts(n.hostList)); err != nil {
+		n.logger.Error("host list can't divide the shares", zap.Error(err))
+	}
+}
--- a/internal/nodecmd/run.go
+++ b/internal/nodecmd/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -18,7 +19,11 @@
 	command := &cobra.Command{
 		Use:   "run --settings FILE",
 		Short: "Run one node until SIGTERM or SIGINT, then stop without cutting off any request",
-		Args:  cobra.NoArgs,
+		Long: `Run one node until SIGTERM or SIGINT. The node then reports that it is not ready,
+serves on while the balancer lags, lets running requests end and hands its shares
+and tickets over. A second signal ends the wait for the balancer; it cuts off no
+request that the node has received.`,
+		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			return run(c.Context(), file)
 		},
@@ -42,11 +47,20 @@
 		return fmt.Errorf("make the logger: %w", err)
 	}
 	defer func() { _ = logger.Sync() }()
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
 	n, err := node.New(loaded, logger)
 	if err != nil {
 		return err
 	}
-	return n.Run(ctx)
+	hurry := make(chan os.Signal, 1)
+	go func() {
+		<-signals
+		cancel()
+		hurry <- <-signals
+	}()
+	return n.Run(ctx, hurry)
 }
