--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -181,6 +181,7 @@
 	n.hostsConfirmed()
 	n.fleet.SetHosts(memberHosts(list))
 	n.announce()
+	debug.FreeOSMemory()
 }
 
 // hostsConfirmed passes the host list in force to the shares, when it comes in
