Take silence for a lapse only from a host that needs contact

A host that had settled a list of two used its shares without contact while new processes on a list of three fenced it (model). Heartbeats now tell whether their sender needs contact, and a host that has not told so in this session is not fenced before the view is settled or the list was read again after ListLag.

--- a/internal/share/beat.go
+++ b/internal/share/beat.go
@@ -10,6 +10,8 @@
 	// FlagStopping is set by a process that will use no share again. Its
 	// deputies may use all its shares but those of draining leaves.
 	FlagStopping
+	// FlagContactFree is set while the sender may use shares without contact.
+	FlagContactFree
 	// FlagMarks is set when the heartbeat holds all marks for the addressee.
 	FlagMarks
 )
--- a/internal/share/contact.go
+++ b/internal/share/contact.go
@@ -88,7 +88,7 @@
 // silent host may act on a newer host list, so that it is passed over only if
 // it is fenced and this process could not have missed that list.
 func (s *State) allAccounted(now time.Duration) bool {
-	mayPassOver := s.confirmedAt >= s.sessionStart+s.opts.ListLag || s.allFamiliar(now)
+	mayPassOver := s.listConfirmed() || s.allFamiliar(now)
 	for _, p := range s.peers {
 		if !s.concerns(p) || s.stopped[p.name] || s.inContact(p, now) || s.endedInSession(p) {
 			continue
@@ -100,6 +100,12 @@
 	return true
 }
 
+// listConfirmed reports that the view was read again so late in this session
+// that it shows every list of earlier sessions.
+func (s *State) listConfirmed() bool {
+	return s.confirmedAt >= s.sessionStart+s.opts.ListLag
+}
+
 // allFamiliar reports that each host in contact runs the same process as when
 // this one was attached. A newer list cannot have been settled without them.
 func (s *State) allFamiliar(now time.Duration) bool {
--- a/internal/share/fence.go
+++ b/internal/share/fence.go
@@ -17,12 +17,15 @@
 }
 
 // fenceable reports whether the host needs contact to use shares in every view
-// that it may have in force.
+// that it may have in force. A settled view tells that for its hosts. Otherwise
+// the host must have told it in this session, or any view in which it needs no
+// contact must have been replaced at the host too.
 func (s *State) fenceable(p *peer) bool {
-	if s.unsettled[p.name] {
+	if s.unsettled[p.name] || (s.view.members[p.name] && s.view.contactFree()) {
 		return false
 	}
-	return !s.view.members[p.name] || !s.view.contactFree()
+	told := s.contactedInSession(p) && p.flags&FlagContactFree == 0
+	return s.isSettled() || told || s.listConfirmed()
 }
 
 // commonSilence returns the start of an interval in which neither this process
--- a/internal/share/options.go
+++ b/internal/share/options.go
@@ -39,8 +39,8 @@
 	MaxCall time.Duration
 	// Margin covers clock drift within one lease and the transit of a call.
 	Margin time.Duration
-	// ListLag bounds how stale the platform's host list is. It matters only when
-	// no process is attached and a host is silent.
+	// ListLag bounds how stale the platform's host list is at any host. It
+	// matters only when no process is attached and a host is silent.
 	ListLag time.Duration
 	// ExitEndsCalls is set when leaves cancel a call whose connection closes,
 	// so that the end of a process also ends its calls.
--- a/internal/share/send.go
+++ b/internal/share/send.go
@@ -59,6 +59,9 @@
 	if s.attached {
 		b.Flags |= FlagAttached
 	}
+	if s.contactFree {
+		b.Flags |= FlagContactFree
+	}
 	if s.stopping && now >= s.predecessorEnd() {
 		b.Flags |= FlagStopping
 		b.Draining = s.drainingLeaves()
--- a/internal/share/state_test.go
+++ b/internal/share/state_test.go
@@ -200,6 +200,26 @@
 	require.Equal(t, 1.0, s.least())
 }
 
+// A host that needs no contact under its list of two is silent. Processes that
+// start on a list of three must not take its silence for a lapse.
+func TestSilenceUnderAListOfTwoIsNoFence(t *testing.T) {
+	s := settledSim(t, 3)
+	s.addView([]int{0, 1})
+	s.setView(0, 1)
+	s.setView(1, 1)
+	s.setView(2, 1)
+	until(t, s, 4*time.Second, s.full)
+	s.addView([]int{0, 1, 2})
+	for i := 1; i < 3; i++ {
+		s.kill(i)
+		s.startProcess(i, 0)
+	}
+	require.NoError(t, s.run(800*time.Millisecond))
+	s.split(func(i int) bool { return i == 0 })
+	require.NoError(t, s.run(5*time.Second))
+	require.Zero(t, s.hosts[1].state.Status().Held+s.hosts[2].state.Status().Held)
+}
+
 // A process that starts on a list learns from its peers that a host which the
 // list does not name has not released its shares.
 func TestStartLearnsOfUnsettledHosts(t *testing.T) {
