--- a/internal/share/state_test.go
+++ b/internal/share/state_test.go
@@ -220,6 +220,29 @@
 	require.Zero(t, s.hosts[1].state.Status().Held+s.hosts[2].state.Status().Held)
 }
 
+// A list is replaced by another and that one by a list like the first. A host
+// that missed the one between must not take its layout for unchanged.
+func TestEqualListAfterAMissedOneIsNotSettled(t *testing.T) {
+	s := settledSim(t, 4)
+	s.split(func(i int) bool { return i == 3 })
+	s.addView([]int{0, 1, 2})
+	for i := range 3 {
+		s.setView(i, 1)
+	}
+	until(t, s, 5*time.Second, s.full)
+	s.addView([]int{0, 1, 2, 3})
+	clear(s.cut)
+	s.setView(3, 2)
+	require.NoError(t, s.run(time.Second))
+	s.kill(1)
+	for i := range s.hosts {
+		s.refuse(i, 1)
+	}
+	require.NoError(t, s.run(4*time.Second))
+	require.Zero(t, s.hosts[3].state.Status().Held)
+	require.Empty(t, s.hosts[3].state.Status().Taken)
+}
+
 // A process that starts on a list learns from its peers that a host which the
 // list does not name has not released its shares.
 func TestStartLearnsOfUnsettledHosts(t *testing.T) {
