--- a/internal/share/state_test.go
+++ b/internal/share/state_test.go
@@ -229,7 +229,8 @@
 	for i := range 3 {
 		s.setView(i, 1)
 	}
-	until(t, s, 5*time.Second, s.full)
+	require.NoError(t, s.run(5*time.Second))
+	require.True(t, s.full())
 	s.addView([]int{0, 1, 2, 3})
 	clear(s.cut)
 	s.setView(3, 2)
