--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -174,8 +174,8 @@
 	}
 	if s := run.Leaves; s != nil {
 		t.row("%d leaves: %d ran, %d refused, %d canceled, %d crashes, %d falls", s.Leaves, s.Ran, s.Refused, s.Canceled, s.Crashes, s.Falls)
-		t.row("leaves over a bound: slots %d, cold %d, connections %d (most connections %d)",
-			s.OverSlots, s.OverCold, s.OverConnections, s.MaxConnections)
+		t.row("leaves over a bound: slots %d, cold %d, connections %d (most connections %d); leaves with all slots in use at once: %d",
+			s.OverSlots, s.OverCold, s.OverConnections, s.MaxConnections, s.AllSlots)
 		t.row("submits run %d, run again %d", s.SubmitsRun, s.SubmitsRunAgain)
 		t.row("requests to data centres taken out for more than 3 s: %d", run.LateRequests)
 	}
--- a/internal/standin/summary.go
+++ b/internal/standin/summary.go
@@ -18,6 +18,8 @@
 	// OverConnections counts the leaves that had more connections than allowed.
 	OverConnections int `json:"over_connections"`
 	MaxConnections  int `json:"max_connections"`
+	// AllSlots counts the leaves that had as many requests at once as slots.
+	AllSlots int `json:"all_slots"`
 	// SubmitsRun and SubmitsRunAgain count the requests that must run at most
 	// once: those that ran, and those that ran more than once.
 	SubmitsRun      int `json:"submits_run"`
@@ -53,6 +55,9 @@
 	s.OverSlots += exceeds(c.MaxConcurrent, o.Slots)
 	s.OverCold += exceeds(c.MaxCold, o.ColdSlots)
 	s.OverConnections += exceeds(c.MaxConnections, o.Connections)
+	if o.Slots > 0 && c.MaxConcurrent >= o.Slots {
+		s.AllSlots++
+	}
 	s.MaxConnections = max(s.MaxConnections, c.MaxConnections)
 }
 
