--- a/internal/capacity/placement.go
+++ b/internal/capacity/placement.go
@@ -12,6 +12,9 @@
 	// sampledQueries is the number of queries of which a mean is computed.
 	sampledQueries = 200
 	placementSeed  = 1
+	// seatProcesses is the number of processes of an owner or a deputy whose
+	// connections a leaf may count: the present one and its predecessor.
+	seatProcesses = 2
 )
 
 // Placement is what placement gives to hosts and queries at one size. It is
@@ -75,30 +78,44 @@
 
 func (p *Placement) countShares(plan *placement.Table) {
 	shares, slots := map[string]int{}, map[string]int{}
+	var total holding
 	for _, leaf := range plan.Leaves {
 		connections := 0
 		for _, share := range leaf.Shares {
-			const seatProcesses = 2
 			shares[share.Owner]++
 			slots[share.Owner] += share.Slots
-			p.Shares += 1 / float64(p.Nodes)
-			p.Slots += float64(share.Slots) / float64(p.Nodes)
-			p.Connections += float64(share.Connections) / float64(p.Nodes)
+			total.add(share)
 			connections += seatProcesses * (share.Connections + share.DeputyConnections)
-			if share.Deputy != "" {
-				p.SharesAsDeputy += 1 / float64(p.Nodes)
-			}
 		}
 		if connections > p.LeafConnections {
 			p.LeafConnections, p.LeafBound = connections, leaf.ConnectionBound
 		}
 	}
+	nodes := float64(p.Nodes)
+	p.Shares = float64(total.shares) / nodes
+	p.SharesAsDeputy = float64(total.deputies) / nodes
+	p.Slots = float64(total.slots) / nodes
+	p.Connections = float64(total.connections) / nodes
 	for host, n := range shares {
 		p.GreatestShares = max(p.GreatestShares, n)
 		p.GreatestSlots = max(p.GreatestSlots, slots[host])
 	}
 }
 
+// holding counts what all hosts hold together.
+type holding struct {
+	shares, deputies, slots, connections int
+}
+
+func (h *holding) add(s placement.Share) {
+	h.shares++
+	h.slots += s.Slots
+	h.connections += s.Connections
+	if s.Deputy != "" {
+		h.deputies++
+	}
+}
+
 // countHolders computes how many hosts a query of the first service calls.
 func (p *Placement) countHolders(doc *document.Document, plan *placement.Table) {
 	customer, service := doc.Deployments[0].Customer, doc.Deployments[0].Services[0]
@@ -114,10 +131,13 @@
 	}
 	p.QueryLeaves = len(service.Shards)
 	rng := rand.New(rand.NewPCG(placementSeed, 0))
+	random, byInstance := 0, 0
 	for range sampledQueries {
-		p.QueryHolders += float64(len(randomHolders(rng, service.Shards, replicas))) / sampledQueries
-		p.InstanceHolders += float64(len(instanceHolders(rng, service.Shards, replicas))) / sampledQueries
+		random += len(randomHolders(rng, service.Shards, replicas))
+		byInstance += len(instanceHolders(rng, service.Shards, replicas))
 	}
+	p.QueryHolders = float64(random) / sampledQueries
+	p.InstanceHolders = float64(byInstance) / sampledQueries
 }
 
 // randomHolders returns the hosts of a query that takes a random replica of each
