Fit what grows with the nodes and with the leaves of a node apart

A straight line over the nodes alone mixed the two: from 6 to 96 nodes the leaves of a node fall from 783 to 49, and its line gave -4.6 % of a core at 600 nodes. The first window also had joins in it at 96 nodes (3,122 B/s of membership against 157 at 6), so that all nodes now know each other first.

--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -3,25 +3,41 @@
 import "math"
 
 const (
-	// targetNodes is the size of the fleet to which fits are extended.
-	targetNodes = 600
-	// minFitPoints is the least number of points of a fit.
-	minFitPoints = 3
+	// targetNodes and targetLeaves are the size to which fits are extended.
+	targetNodes  = 600
+	targetLeaves = 4700
 )
 
-// Fit is a line through the values of one quantity at all sizes of the fleet.
+// Fit is a sum of terms through the values of one quantity at all sizes.
 type Fit struct {
 	Quantity string `json:"quantity"`
 	Mode     Mode   `json:"mode"`
-	// Basis names the terms to which Coefficients belong.
-	Basis        string    `json:"basis"`
-	Coefficients []float64 `json:"coefficients"`
-	// GreatestError is the greatest distance of a point from the line.
+	// Constant is the part that is the same at all sizes, PerNode the slope with
+	// the nodes of the fleet, and PerLeaf the slope with the leaves of the document
+	// for each node.
+	Constant float64 `json:"constant"`
+	PerNode  float64 `json:"per_node"`
+	PerLeaf  float64 `json:"per_leaf"`
+	// GreatestError is the greatest distance of a point from the sum.
 	GreatestError float64 `json:"greatest_error"`
-	// AtTarget is the value of the line at the size that the product is built for.
+	// AtTarget is the sum at the size that the product is built for.
 	AtTarget float64 `json:"at_target"`
 }
 
+// at returns the sum for a size.
+func (f *Fit) at(s Size) float64 {
+	terms := termsOf(s)
+	return f.Constant*terms[0] + f.PerNode*terms[1] + f.PerLeaf*terms[2]
+}
+
+// numTerms is the number of terms of a fit.
+const numTerms = 3
+
+// termsOf returns what the coefficients of a fit are multiplied with.
+func termsOf(s Size) [numTerms]float64 {
+	return [numTerms]float64{1, float64(s.Nodes), float64(s.Leaves) / float64(s.Nodes)}
+}
+
 // quantity is a value of a window that is fitted.
 type quantity struct {
 	name  string
@@ -47,60 +63,83 @@
 	return total
 }
 
-// fit fits every quantity of every mode over the sizes with the most leaves.
+// fit fits every quantity of every mode.
 func (r *Report) fit() {
-	leaves := 0
-	for _, p := range r.Points {
-		leaves = max(leaves, p.Size.Leaves)
-	}
 	for _, mode := range Modes() {
 		for _, q := range quantities {
-			r.fitQuantity(q, mode, leaves)
+			r.fitQuantity(q, mode)
 		}
 	}
 }
 
-func (r *Report) fitQuantity(q quantity, mode Mode, leaves int) {
-	var nodes, values []float64
+func (r *Report) fitQuantity(q quantity, mode Mode) {
+	var sizes []Size
+	var values []float64
 	for _, p := range r.Points {
-		if p.Size.Leaves != leaves {
-			continue
-		}
 		for _, w := range p.Windows {
 			if w.Mode == mode && w.All.Nodes > 0 {
-				nodes = append(nodes, float64(p.Size.Nodes))
+				sizes = append(sizes, p.Size)
 				values = append(values, q.value(w.All))
 			}
 		}
 	}
-	if len(nodes) < minFitPoints {
+	if len(sizes) <= numTerms {
 		return
 	}
-	intercept, slope := line(nodes, values)
-	f := Fit{
-		Quantity:     q.name,
-		Mode:         mode,
-		Basis:        "1 nodes",
-		Coefficients: []float64{intercept, slope},
-		AtTarget:     intercept + slope*targetNodes,
+	c, ok := leastSquares(sizes, values)
+	if !ok {
+		return
 	}
-	for i, x := range nodes {
-		f.GreatestError = max(f.GreatestError, math.Abs(values[i]-intercept-slope*x))
+	f := Fit{Quantity: q.name, Mode: mode, Constant: c[0], PerNode: c[1], PerLeaf: c[2]}
+	f.AtTarget = f.at(Size{Nodes: targetNodes, Leaves: targetLeaves})
+	for i, s := range sizes {
+		f.GreatestError = max(f.GreatestError, math.Abs(values[i]-f.at(s)))
 	}
 	r.Fits = append(r.Fits, f)
 }
 
-// line returns the line of least squares through points.
-func line(x, y []float64) (intercept, slope float64) {
-	meanX, meanY := mean(x), mean(y)
-	var products, squares float64
-	for i := range x {
-		products += (x[i] - meanX) * (y[i] - meanY)
-		squares += (x[i] - meanX) * (x[i] - meanX)
+// leastSquares returns the coefficients with the least sum of squared errors, and
+// false if the sizes don't determine them.
+func leastSquares(sizes []Size, values []float64) ([numTerms]float64, bool) {
+	// The last column of each row is the right side of the equation.
+	var rows [numTerms][numTerms + 1]float64
+	for n, s := range sizes {
+		terms := termsOf(s)
+		for i := range terms {
+			for j := range terms {
+				rows[i][j] += terms[i] * terms[j]
+			}
+			rows[i][numTerms] += terms[i] * values[n]
+		}
+	}
+	return solve(rows)
+}
+
+// solve solves linear equations by elimination.
+func solve(rows [numTerms][numTerms + 1]float64) (solution [numTerms]float64, ok bool) {
+	for i := range rows {
+		pivot := i
+		for j := i; j < numTerms; j++ {
+			if math.Abs(rows[j][i]) > math.Abs(rows[pivot][i]) {
+				pivot = j
+			}
+		}
+		rows[i], rows[pivot] = rows[pivot], rows[i]
+		if rows[i][i] == 0 {
+			return solution, false
+		}
+		for j := range rows {
+			if j == i {
+				continue
+			}
+			factor := rows[j][i] / rows[i][i]
+			for k := range rows[j] {
+				rows[j][k] -= factor * rows[i][k]
+			}
+		}
 	}
-	if squares == 0 {
-		return meanY, 0
+	for i := range rows {
+		solution[i] = rows[i][numTerms] / rows[i][i]
 	}
-	slope = products / squares
-	return meanY - slope*meanX, slope
+	return solution, true
 }
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -160,9 +160,9 @@
 		}
 	}
 	t.row("")
-	t.row("fit\tmode\tbasis\tcoefficients\tgreatest error\tat %d nodes", targetNodes)
+	t.row("fit\tmode\tconstant\tper node\tper leaf of a node\tgreatest error\tat %d nodes, %d leaves", targetNodes, targetLeaves)
 	for _, f := range r.Fits {
-		t.row("%s\t%s\t%s\t%s\t%.4g\t%.4g", f.Quantity, f.Mode, f.Basis, numbers(f.Coefficients), f.GreatestError, f.AtTarget)
+		t.row("%s\t%s\t%.4g\t%.4g\t%.4g\t%.4g\t%.4g", f.Quantity, f.Mode, f.Constant, f.PerNode, f.PerLeaf, f.GreatestError, f.AtTarget)
 	}
 	t.row("")
 	for _, p := range r.Points {
@@ -192,6 +192,9 @@
 func (t *table) messages(s Size, m Window) {
 	var parts []string
 	for message, rate := range m.All.Sent {
+		if rate == 0 {
+			continue
+		}
 		parts = append(parts, fmt.Sprintf("%s %.0f", message, rate))
 	}
 	if len(parts) == 0 {
@@ -200,11 +203,3 @@
 	slices.Sort(parts)
 	t.row("%d\t%d\t%s\tsent B/s: %s", s.Nodes, s.Leaves, m.Mode, strings.Join(parts, ", "))
 }
-
-func numbers(values []float64) string {
-	texts := make([]string, len(values))
-	for i, v := range values {
-		texts[i] = fmt.Sprintf("%.4g", v)
-	}
-	return strings.Join(texts, " ")
-}
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -8,8 +8,9 @@
 	"time"
 )
 
-// settleTime passes between the start of a fleet and the first measurement.
-const settleTime = 5 * time.Second
+// settleTime passes between the time at which all nodes know each other and the
+// first measurement.
+const settleTime = 10 * time.Second
 
 // Run measures every size.
 func Run(ctx context.Context, o Options) (*Report, error) {
@@ -59,7 +60,7 @@
 	if point.Start, err = f.coldStart(ctx); err != nil {
 		return point, err
 	}
-	if err := sleep(ctx, settleTime); err != nil {
+	if err := f.settle(ctx); err != nil {
 		return point, err
 	}
 	for _, mode := range o.Modes {
@@ -103,6 +104,20 @@
 	return start, nil
 }
 
+// settle waits until all nodes know each other and the messages about it have
+// ended.
+func (f *fleet) settle(ctx context.Context) error {
+	others := len(f.nodes) - 1
+	_, err := f.await(ctx, f.nodes, "aware of all others", func(p *process) bool {
+		s, err := p.status()
+		return err == nil && s.Members["alive"] == others
+	})
+	if err != nil {
+		return err
+	}
+	return sleep(ctx, settleTime)
+}
+
 // spread publishes documents and times each until it is in force everywhere.
 func (f *fleet) spread(ctx context.Context) (Spread, error) {
 	var spread Spread
