--- /dev/null
+++ b/internal/e2e/partition_test.go
@@ -0,0 +1,139 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingshelf/redwingshelf/internal/hostlist"
+	"github.com/redwingshelf/redwingshelf/internal/standin"
+)
+
+// longPause is longer than every lease and every call.
+const longPause = 10 * time.Second
+
+// TestFrozenNodeSendsOnNoOldPermit freezes a node under load until its deputies
+// have taken its shares, and wakes it: the leaves must never count more than
+// they bear.
+func TestFrozenNodeSendsOnNoOldPermit(t *testing.T) {
+	c := start(t, 6, smallDocument(), standin.LeafOptions{StartWarm: true, ServiceTime: 10 * time.Millisecond}, standin.NewSnapshot("1-first", 90, 3))
+	load := c.startLoad(24)
+	load.waitAnswers(200)
+	c.freeze(c.nodes[0])
+	time.Sleep(longPause)
+	load.waitAnswers(100)
+	c.wake(c.nodes[0])
+	load.waitAnswers(300)
+	load.stop()
+	c.requireWithinBounds()
+	c.requireWholeAgain()
+}
+
+// requireWholeAgain waits until every reachable node gives whole answers.
+func (c *cluster) requireWholeAgain() {
+	c.t.Helper()
+	for _, p := range c.nodes {
+		if p.frozen.Load() {
+			continue
+		}
+		c.wait("whole answers by "+p.settings.Name, func() bool {
+			e := p.exchange(searchAll(0))
+			return e.ok() && e.answer.Coverage.Covered == e.answer.Coverage.Total
+		})
+	}
+}
+
+// TestSplitFleet cuts the fleet in two, cuts one direction between nodes, and
+// kills a node meanwhile.
+func TestSplitFleet(t *testing.T) {
+	c := setup{
+		nodes: 6, doc: smallDocument(), proxyPeers: true,
+		leaf: standin.LeafOptions{StartWarm: true, ServiceTime: 4 * time.Millisecond},
+		held: []*standin.Snapshot{standin.NewSnapshot("1-first", 90, 3)},
+	}.start(t)
+	load := c.startLoad(16)
+	load.waitAnswers(200)
+	c.split(c.nodes[:3])
+	for _, p := range c.nodes {
+		p.peers.Cut()
+	}
+	load.waitAnswers(100)
+	time.Sleep(3 * time.Second) // every lease across the cut has ended
+	c.kill(c.nodes[5])
+	load.waitAnswers(100)
+	c.heal()
+	c.requireWholeAgain()
+	c.cutOneWay(c.nodes[0], c.nodes[1], c.nodes[2])
+	time.Sleep(3 * time.Second)
+	load.waitAnswers(100)
+	c.heal()
+	c.requireWholeAgain()
+	load.stop()
+	c.requireWithinBounds()
+	for _, e := range load.exchanges {
+		if e.ok() {
+			c.requireOwnSnapshot(e.answer, 90)
+		}
+	}
+	c.requireNotRunIsTrue(load.exchanges)
+}
+
+// TestSilentConnections makes the open connections to leaves silent for good
+// under load, then those between nodes; new connections work.
+func TestSilentConnections(t *testing.T) {
+	c := setup{
+		nodes: 4, doc: smallDocument(), proxyPeers: true, proxyLeaves: true,
+		leaf: standin.LeafOptions{StartWarm: true, ServiceTime: 2 * time.Millisecond},
+		held: []*standin.Snapshot{standin.NewSnapshot("1-first", 90, 3)},
+	}.start(t)
+	load := c.startLoad(6)
+	load.waitAnswers(50)
+	for _, name := range c.leavesIn("tema") {
+		c.leafProxies[name].Silence()
+	}
+	load.waitAnswers(50)
+	c.requireWholeAgain()
+	c.nodes[0].peers.Silence()
+	c.requireWholeAgain()
+	for _, proxy := range c.leafProxies {
+		proxy.Silence()
+	}
+	c.kill(c.nodes[1])
+	c.requireWholeAgain()
+	load.waitAnswers(50)
+	load.stop()
+	c.requireWithinBounds()
+}
+
+// TestHostListLags lists a dead host as live, leaves a living one out, lists it
+// again and replaces a node at the same addresses.
+func TestHostListLags(t *testing.T) {
+	c := start(t, 6, smallDocument(), standin.LeafOptions{StartWarm: true, ServiceTime: 4 * time.Millisecond}, standin.NewSnapshot("1-first", 90, 3))
+	load := c.startLoad(12)
+	load.waitAnswers(100)
+	all := c.hosts
+	c.kill(c.nodes[0])
+	load.waitAnswers(100)
+	c.listHosts(all.Hosts[1:])
+	load.waitAnswers(100)
+	c.listHosts(all.Hosts[2:])
+	time.Sleep(2 * time.Second) // the living host is missing for several leases
+	load.waitAnswers(100)
+	c.listHosts(all.Hosts)
+	c.restart(c.nodes[0])
+	load.waitAnswers(100)
+	c.kill(c.nodes[3])
+	c.restart(c.nodes[3])
+	c.requireWholeAgain()
+	load.stop()
+	c.requireWithinBounds()
+	require.NotZero(t, load.count())
+}
+
+// listHosts publishes a host list with the next revision.
+func (c *cluster) listHosts(hosts []hostlist.Host) {
+	c.hosts.Revision++
+	c.hosts.Hosts = hosts
+	c.platform.SetHosts(c.hosts)
+}
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -1,6 +1,8 @@
 package e2e
 
 import (
+	"fmt"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -39,3 +41,52 @@
 	c.requireFull(load.exchanges)
 	c.requireWithinBounds()
 }
+
+// TestPlannedStopCompletesSlowRequests stops every node but one, one after the
+// other, while slow searches and notes are running at each entry.
+func TestPlannedStopCompletesSlowRequests(t *testing.T) {
+	const slow = time.Second
+	doc := smallDocument()
+	doc.Deployments[0].Services[0].Policy.DeadlineMS = 4000
+	c := start(t, 4, doc, standin.LeafOptions{StartWarm: true, ServiceTime: slow}, standin.NewSnapshot("1-first", 90, 3))
+	c.requireWholeAgain()
+	var mu sync.Mutex
+	var exchanges []exchange
+	for i, p := range c.nodes[:3] {
+		before := c.countBegun()
+		var wg sync.WaitGroup
+		for _, r := range []request{searchAll(int64(i)), c.note(p, i)} {
+			wg.Go(func() {
+				e := p.exchange(r)
+				mu.Lock()
+				defer mu.Unlock()
+				exchanges = append(exchanges, e)
+			})
+		}
+		c.wait("the leaves run the requests", func() bool { return c.countBegun() >= before+4 })
+		p.frozen.Store(true)
+		c.stopPlanned(p)
+		wg.Wait()
+	}
+	c.requireFull(exchanges)
+	for body, records := range c.begun() {
+		for _, r := range records {
+			require.True(t, r.Ran, "cut off: %s %s", body, r.RequestID)
+		}
+	}
+}
+
+// note builds a request that is not idempotent, with a ticket of the given node.
+func (c *cluster) note(p *process, n int) request {
+	ticket, err := p.post("/v1/tickets", "", nil)
+	require.NoError(c.t, err)
+	return request{path: requestPath, body: fmt.Sprintf(`{"note":%d}`, n), headers: map[string]string{"Idempotency-Key": ticket.Ticket}}
+}
+
+func (c *cluster) countBegun() int {
+	n := 0
+	for _, records := range c.begun() {
+		n += len(records)
+	}
+	return n
+}
