Find the loss of many members sooner

The last pings of suspects are bounded to eight in a tick, since 117 suspects at 483 nodes would bring hundreds of messages per node and second.

--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -29,6 +29,9 @@
 	nextSync time.Duration
 	nextSend time.Duration
 
+	// confirmsLeft is the number of suspects that may still be pinged in a tick.
+	confirmsLeft int
+
 	lastEvent  time.Duration
 	pauses     int
 	superseded bool
@@ -180,6 +183,7 @@
 func (l *List) expire(now time.Duration) {
 	names := l.timed
 	l.timed = nil
+	l.confirmsLeft = maxConfirms
 	for _, name := range names {
 		e := l.table[name]
 		switch {
@@ -201,7 +205,8 @@
 	case e.State != Suspect:
 	case now >= e.deadline:
 		l.setState(now, e, Dead)
-	case now >= e.confirmAt:
+	case now >= e.confirmAt && l.confirmsLeft > 0:
+		l.confirmsLeft--
 		e.confirmAt = now + confirmInterval
 		l.ping(e.Address, e.Name, l.nextSequence())
 	}
--- a/internal/member/options.go
+++ b/internal/member/options.go
@@ -19,7 +19,9 @@
 	// TickInterval is the interval at which the controller calls Tick.
 	TickInterval = 100 * time.Millisecond
 
-	probeInterval = time.Second
+	probeInterval     = time.Second
+	fastProbeInterval = 200 * time.Millisecond
+	fastProbeTime     = 5 * time.Second
 	// directTimeout is the time after which others are asked to probe.
 	directTimeout = 400 * time.Millisecond
 	probeTimeout  = time.Second
@@ -41,7 +43,9 @@
 
 const (
 	indirectProbes = 3
-	gossipFanout   = 3
+	// maxConfirms bounds the suspects that are pinged in one tick.
+	maxConfirms  = 8
+	gossipFanout = 3
 	// retransmits is the number of transmissions of an update per digit of the
 	// number of members.
 	retransmits = 4
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -9,7 +9,9 @@
 type prober struct {
 	next     time.Duration
 	nextDead time.Duration
-	sequence uint32
+	// fastUntil is the end of a time of more probes after one that failed.
+	fastUntil time.Duration
+	sequence  uint32
 	// order is the remaining round of members to probe.
 	order   []string
 	pending []*probe
@@ -37,7 +39,7 @@
 	l.expireProbes(now)
 	p := &l.prober
 	if now >= p.next {
-		p.next = now + probeInterval
+		p.next = now + l.probeInterval(now)
 		if e := l.nextTarget(); e != nil {
 			l.startProbe(now, e)
 		}
@@ -48,6 +50,15 @@
 	}
 }
 
+// probeInterval is short after a failed probe, so that the loss of many members
+// is found sooner.
+func (l *List) probeInterval(now time.Duration) time.Duration {
+	if now < l.prober.fastUntil {
+		return fastProbeInterval
+	}
+	return probeInterval
+}
+
 // expireProbes asks others about silent members and suspects those that no one
 // could reach.
 func (l *List) expireProbes(now time.Duration) {
@@ -68,6 +79,7 @@
 		return true
 	}
 	if now >= pr.failAt {
+		l.prober.fastUntil = now + fastProbeTime
 		l.suspect(now, e)
 		return true
 	}
