--- a/internal/confsync/bench_test.go
+++ b/internal/confsync/bench_test.go
@@ -3,15 +3,19 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 )
 
 const benchDocument = 470 << 10
 
+// benchTag makes the difference between two revisions about 200 bytes.
+var benchTag = strings.Repeat("a", 200)
+
 // BenchmarkSpread publishes a document of 470 KB every 72 s, which is 1,200
-// times a day, and reports what one node sends to peers and how long a change
-// takes to reach all nodes. Reads are those of the whole fleet.
+// times a day, and reports what one node sends to peers, how long a change
+// takes to reach all nodes and how long a restarted node takes to serve. Reads are those of the whole fleet.
 func BenchmarkSpread(b *testing.B) {
 	for _, size := range []int{6, 12, 24, 48, 96} {
 		for _, mode := range []string{"idle", "delta", "full"} {
@@ -27,7 +31,7 @@
 func spread(b *testing.B, size int, mode string) {
 	const changes, interval = 10, 72 * time.Second
 	f := newFleet(size, 1)
-	f.publish(document(1, "a", benchDocument))
+	f.publish(document(1, benchTag, benchDocument))
 	f.startAll()
 	f.timeToAll(1, time.Minute)
 	sent := func() (total int) {
@@ -44,7 +48,7 @@
 	for revision := uint64(2); revision < 2+changes; revision++ {
 		end := f.now + interval
 		if mode != "idle" {
-			f.publish(document(revision, "a", benchDocument))
+			f.publish(document(revision, benchTag, benchDocument))
 			slowest = max(slowest, f.timeToAll(revision, interval))
 		}
 		f.run(end - f.now)
@@ -55,6 +59,9 @@
 	b.ReportMetric(float64(time.Since(cpu).Nanoseconds())/perNode, "ns/node/s")
 	b.ReportMetric(float64(len(f.reads)-readsBefore)/seconds, "reads/s")
 	b.ReportMetric(float64(slowest.Milliseconds()), "ms-to-all")
+	f.start(f.nodes[size/2])
+	restart := f.timeToAll(f.revision(), time.Minute)
+	b.ReportMetric(float64(restart.Milliseconds()), "ms-restart")
 }
 
 func benchSyncer(size int) (*Syncer, []Peer) {
