--- a/internal/confsync/fleet_test.go
+++ b/internal/confsync/fleet_test.go
@@ -109,7 +109,9 @@
 	down      bool
 	watches   []watch
 	reads     []time.Duration
-	faults    []string
+	// records are what the members were when they were last refreshed.
+	records []Peer
+	faults  []string
 }
 
 func newFleet(size int, seed uint64) *fleet {
@@ -181,10 +183,23 @@
 }
 
 func (f *fleet) refreshMembers() {
+	f.after(time.Second, f.refreshMembers)
+	var records []Peer
+	for _, n := range f.nodes {
+		record := n.self
+		record.DataCentre = strconv.Itoa(f.side[n.self.Name])
+		if n.syncer != nil {
+			record.Ready, record.Revision = n.syncer.Ready(), n.syncer.Identity().Revision
+		}
+		records = append(records, record)
+	}
+	if slices.Equal(records, f.records) {
+		return
+	}
+	f.records = records
 	for _, n := range f.nodes {
 		f.members(n)
 	}
-	f.after(time.Second, f.refreshMembers)
 }
 
 func (f *fleet) members(n *node) {
