--- a/internal/ctl/load.go
+++ b/internal/ctl/load.go
@@ -151,5 +151,6 @@
 		name, p.site.Nodes, p.load.Rate, p.load.Duration, p.load.Warmup)
 	site := p.site
 	site.Document = doc
+	site.AllowUnserved = name != chosenRun
 	return demo.Experiment{Name: name, Site: site, Load: p.load, Events: p.events}.Run(ctx)
 }
