--- /dev/null
+++ b/internal/e2e/coverage_test.go
@@ -0,0 +1,91 @@
+package e2e
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingshelf/redwingshelf/internal/document"
+	"github.com/redwingshelf/redwingshelf/internal/standin"
+)
+
+// TestCoverageIsTrue loses a replica, then the whole shard, then a node, and
+// compares what answers state with what the leaves that are left hold.
+func TestCoverageIsTrue(t *testing.T) {
+	const entries = 300
+	snapshot := standin.NewPartitionedSnapshot("1-first", entries, standin.UnequalBounds(3, 7))
+	for _, policy := range []string{document.CoverageDeadline, document.CoverageFull} {
+		t.Run(policy, func(t *testing.T) {
+			doc := smallDocument()
+			p := &doc.Deployments[0].Services[0].Policy
+			p.Coverage = policy
+			p.DeadlineMS = 3000
+			if policy == document.CoverageFull {
+				p.MinimumCoverage = 1
+			}
+			c := start(t, 4, doc, standin.LeafOptions{StartWarm: true}, snapshot)
+			load := c.startLoad(2)
+			load.waitAnswers(30)
+			c.leaves["t1-1"].Crash()
+			load.waitAnswers(30)
+			require.Zero(t, c.countFailed(load), "one replica lost")
+			c.kill(c.nodes[0])
+			c.requireWholeAgain()
+			c.leaves["m1-1"].Crash()
+			for _, node := range c.nodes[1:] {
+				for range 5 {
+					c.requireShardMissing(node.exchange(searchAll(0)), snapshot, 1, policy)
+				}
+			}
+			load.stop()
+			for _, e := range load.exchanges {
+				c.requireTrueCoverage(e, snapshot)
+			}
+		})
+	}
+}
+
+// requireTrueCoverage checks that an answer has the entries of exactly the keys
+// that it claims to cover.
+func (c *cluster) requireTrueCoverage(e exchange, snapshot *standin.Snapshot) {
+	c.t.Helper()
+	if !e.ok() {
+		return
+	}
+	c.requireOwnSnapshot(e.answer, len(snapshot.Entries))
+	entries := len(snapshot.Entries)
+	covered := uint32(standin.KeySpace)
+	counted := map[uint32]bool{}
+	for _, m := range e.answer.Coverage.Missing {
+		if counted[m.From] {
+			continue // another replica of the same range
+		}
+		counted[m.From] = true
+		entries -= len(snapshot.Search(m.From, m.To, standin.Query{}).Hits)
+		covered -= m.To - m.From
+	}
+	require.Len(c.t, e.answer.Hits, entries, "%+v", e.answer.Coverage)
+	require.Equal(c.t, covered, e.answer.Coverage.Covered)
+}
+
+// requireShardMissing checks that an answer states the loss of one shard.
+func (c *cluster) requireShardMissing(e exchange, snapshot *standin.Snapshot, shard int, policy string) {
+	c.t.Helper()
+	require.NoError(c.t, e.err)
+	if policy == document.CoverageFull {
+		require.Equal(c.t, "coverage_too_low", e.answer.Kind, e.answer.Message)
+		require.Less(c.t, e.done.Sub(e.sent), c.doc.Deployments[0].Services[0].Policy.Deadline())
+		return
+	}
+	from, to := snapshot.Range(shard)
+	require.Equal(c.t, http.StatusOK, e.answer.Status, e.answer.Message)
+	c.requireTrueCoverage(e, snapshot)
+	coverage := e.answer.Coverage
+	require.True(c.t, coverage.Known)
+	require.EqualValues(c.t, standin.KeySpace, coverage.Total)
+	require.NotEmpty(c.t, coverage.Missing)
+	for _, m := range coverage.Missing {
+		require.Equal(c.t, []uint32{from, to}, []uint32{m.From, m.To})
+	}
+}
