--- a/internal/capacity/placement.go
+++ b/internal/capacity/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 
 	"github.com/redwingshelf/redwingshelf/internal/document"
@@ -36,12 +37,15 @@
 	// owners, deputies and their predecessors, and LeafBound its limit.
 	LeafConnections int `json:"leaf_connections"`
 	LeafBound       int `json:"leaf_bound"`
-	// QueryLeaves is the number of leaves of one query, and QueryHolders the mean
-	// number of hosts that it calls, with a random replica of each shard.
-	QueryLeaves  int     `json:"query_leaves"`
+	// QueryLeaves is the number of leaves of one query.
+	QueryLeaves int `json:"query_leaves"`
+	// QueryHolders is the mean number of hosts that a query calls if all are
+	// expected to be equally fast, so that it prefers the same few for all leaves.
 	QueryHolders float64 `json:"query_holders"`
-	// InstanceHolders is the mean number of hosts if a query took whole instances
-	// and one owner for each.
+	// RandomHolders is that number if replicas and owners are taken at random.
+	RandomHolders float64 `json:"random_holders"`
+	// InstanceHolders is that number if a query takes whole instances and one
+	// owner for each.
 	InstanceHolders float64 `json:"instance_holders"`
 }
 
@@ -131,15 +135,39 @@
 	}
 	p.QueryLeaves = len(service.Shards)
 	rng := rand.New(rand.NewPCG(placementSeed, 0))
-	random, byInstance := 0, 0
+	preferred, random, byInstance := 0, 0, 0
 	for range sampledQueries {
+		preferred += len(preferredHolders(rng, service.Shards, replicas))
 		random += len(randomHolders(rng, service.Shards, replicas))
 		byInstance += len(instanceHolders(rng, service.Shards, replicas))
 	}
-	p.QueryHolders = float64(random) / sampledQueries
+	p.QueryHolders = float64(preferred) / sampledQueries
+	p.RandomHolders = float64(random) / sampledQueries
 	p.InstanceHolders = float64(byInstance) / sampledQueries
 }
 
+// preferredHolders returns the hosts of a query that ranks all hosts at random and
+// takes the first owner of any replica of each shard.
+func preferredHolders(rng *rand.Rand, shards []string, replicas map[string][]placement.Leaf) map[string]bool {
+	hosts := map[string]bool{}
+	ranks := map[string]float64{}
+	for _, shard := range shards {
+		best, least := "", math.Inf(1)
+		for _, leaf := range replicas[shard] {
+			for _, share := range leaf.Shares {
+				if _, ranked := ranks[share.Owner]; !ranked {
+					ranks[share.Owner] = rng.Float64()
+				}
+				if ranks[share.Owner] < least {
+					best, least = share.Owner, ranks[share.Owner]
+				}
+			}
+		}
+		hosts[best] = true
+	}
+	return hosts
+}
+
 // randomHolders returns the hosts of a query that takes a random replica of each
 // shard and a random owner of each leaf.
 func randomHolders(rng *rand.Rand, shards []string, replicas map[string][]placement.Leaf) map[string]bool {
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -171,10 +171,10 @@
 		}
 	}
 	t.row("")
-	t.row("nodes\tleaves\tshares\tmax shares\tslots\tmax slots\tconnections\tof leaf\tbound\tquery leaves\tholders\tby instance")
+	t.row("nodes\tleaves\tshares\tmax shares\tslots\tmax slots\tconnections\tof leaf\tbound\tquery leaves\tholders\tat random\tby instance")
 	for _, p := range r.Placements {
-		t.row("%d\t%d\t%.1f\t%d\t%.1f\t%d\t%.1f\t%d\t%d\t%d\t%.1f\t%.1f", p.Nodes, p.Leaves, p.Shares, p.GreatestShares,
-			p.Slots, p.GreatestSlots, p.Connections, p.LeafConnections, p.LeafBound, p.QueryLeaves, p.QueryHolders, p.InstanceHolders)
+		t.row("%d\t%d\t%.1f\t%d\t%.1f\t%d\t%.1f\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f", p.Nodes, p.Leaves, p.Shares, p.GreatestShares,
+			p.Slots, p.GreatestSlots, p.Connections, p.LeafConnections, p.LeafBound, p.QueryLeaves, p.QueryHolders, p.RandomHolders, p.InstanceHolders)
 	}
 	return t.flush()
 }
