--- a/internal/e2e/poison_test.go
+++ b/internal/e2e/poison_test.go
@@ -21,7 +21,7 @@
 func TestPoisonCostsAtMostTwoTargetsAfterItsFirstScatter(t *testing.T) {
 	snapshot := standin.NewSnapshot("1-first", 90, 10)
 	c := start(t, 6, siteDocument(t), standin.LeafOptions{ServiceTime: time.Millisecond}, snapshot)
-	load := c.startLoad(searchPath, 2)
+	load := c.startLoad(2)
 	load.waitAnswers(100)
 	for _, leaf := range c.leaves {
 		leaf.SetFaults(standin.Faults{Poison: "poison", RestartAfter: 300 * time.Millisecond})
