--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -116,6 +116,22 @@
 func (l *load) stop() {
 	l.stopped.Store(true)
 	l.wg.Wait()
+	if l.cluster.t.Failed() {
+		l.cluster.t.Logf("answers by node: %v", l.outcomes())
+	}
+}
+
+// outcomes counts the exchanges by node and result.
+func (l *load) outcomes() map[string]int {
+	counts := map[string]int{}
+	for _, e := range l.exchanges {
+		outcome := fmt.Sprint(e.err)
+		if e.err == nil {
+			outcome = fmt.Sprintf("%d %s %s", e.answer.Status, e.answer.Kind, e.answer.Message)
+		}
+		counts[e.node.settings.Name+": "+outcome]++
+	}
+	return counts
 }
 
 // anyNode returns one of the nodes that can be reached.
