--- a/internal/confsync/reader.go
+++ b/internal/confsync/reader.go
@@ -49,6 +49,12 @@
 	}
 }
 
+// ConfirmedAt returns when the service was last read by this node, or by a peer
+// from which it heard so, and false if it never was.
+func (s *Syncer) ConfirmedAt() (time.Duration, bool) {
+	return s.reader.confirmedAt, s.reader.confirmed
+}
+
 // confirmedWithin reports whether the service was read in the last d.
 func (r *reader) confirmedWithin(now, d time.Duration) bool {
 	return r.confirmed && now-r.confirmedAt <= d
@@ -115,7 +121,7 @@
 		after--
 		r.nextVerify = now + verifyInterval
 	case r.rank == 0 && r.answered:
-		wait = watchWait
+		wait = (watchWait/2 + s.jitter(watchWait)).Truncate(time.Second)
 	}
 	r.deadline = now + wait + readGrace
 	s.emit(Read{ID: r.nextID, After: after, Wait: wait})
@@ -225,11 +231,5 @@
 		return
 	}
 	s.behind = revisionHeld
-	s.emit(Rejected{
-		Blob:     s.opts.Blob,
-		Reason:   ServiceBehind,
-		Identity: NewIdentity(revisionHeld, ""),
-		InForce:  current,
-		Source:   ServiceSource,
-	})
+	s.reject(NewIdentity(revisionHeld, ""), ServiceBehind, ServiceSource, nil)
 }
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -22,12 +22,13 @@
 type Searcher struct {
 	router  Router
 	holders Holders
+	screen  Screen
 	states  serviceStates
 }
 
 // NewSearcher returns a searcher.
-func NewSearcher(router Router, holders Holders) *Searcher {
-	return &Searcher{router: router, holders: holders, states: serviceStates{start: time.Now()}}
+func NewSearcher(router Router, holders Holders, screen Screen) *Searcher {
+	return &Searcher{router: router, holders: holders, screen: screen, states: serviceStates{start: time.Now()}}
 }
 
 // Serve is the Handler of idempotent requests.
@@ -55,10 +56,11 @@
 		request:  r,
 		state:    state,
 		answerBy: now + time.Until(r.Deadline) - answerMargin,
+		bias:     newHostBias(),
 		events:   make(chan searchEvent, len(r.Target.Shards)),
 	}
 	state.mu.Lock()
-	cost := state.cost(now, s.router, r.Index)
+	cost := state.cost(now, s.router, r.Index, run.bias)
 	run.query = state.know.NewQuery(now, run.answerBy, state.shards, cost)
 	plan := run.query.Plan()
 	refresh, due := state.know.NextRefresh(now, state.shards)
@@ -71,6 +73,11 @@
 	if plan.Snapshot.IsZero() {
 		return nil, kind.Errorf(kind.Unavailable, "no snapshot of service %q is known to be held", r.Service)
 	}
+	if r.Stage || r.Permit != nil {
+		if err := s.runFirst(ctx, r, plan.Snapshot.Name); err != nil {
+			return nil, err
+		}
+	}
 	run.begin(plan)
 	return run, nil
 }
@@ -78,7 +85,7 @@
 // refresh asks a holder, beside any query, which snapshots a leaf holds.
 func (s *Searcher) refresh(state *serviceState, leaf string) {
 	state.mu.Lock()
-	host, _, found := state.pickHolder(s.states.now(), s.router, leaf, nil)
+	host, _, found := state.pickHolder(s.states.now(), s.router, leaf, nil, newHostBias())
 	state.mu.Unlock()
 	if !found {
 		return
--- a/internal/entry/search_retry.go
+++ b/internal/entry/search_retry.go
@@ -1,10 +1,20 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/quarantine"
 	"github.com/redwingshelf/redwingshelf/internal/snapshot"
 )
 
+const (
+	// firstBackoff is the time before the holders of a leaf are asked again. It
+	// doubles with each round.
+	firstBackoff = 25 * time.Millisecond
+	maxBackoffs  = 4
+)
+
 // failLeaf goes on after a call without an answer: with another holder of the
 // leaf, another leaf, another snapshot, or without that part.
 func (run *searchRun) failLeaf(leaf string, k kind.Kind) {
@@ -29,12 +39,59 @@
 	run.state.mu.Unlock()
 	switch action.Step {
 	case snapshot.StepTry:
-		run.try(action.Leaf, call.part)
+		run.try(action.Leaf, call.part, nil)
 	case snapshot.StepRestart:
 		run.begin(action.Plan)
+	default:
+		run.tryLater(call, k)
 	}
 }
 
+// tryLater asks the holders of a leaf again after a while, if none may use it now
+// and no other leaf covers its part: shares move between hosts within seconds.
+func (run *searchRun) tryLater(call *leafCall, k kind.Kind) {
+	at := run.now() + firstBackoff<<call.backoffs
+	if !holderMatters(k) || call.backoffs >= maxBackoffs || at >= run.answerBy {
+		return
+	}
+	call.backoffs++
+	call.retryAt = at
+	call.ended = false
+	call.tried = nil
+	run.collector.Expect(call.choice.Leaf, call.choice.Shard, call.choice.Range)
+	run.waiting = append(run.waiting, call)
+}
+
+// retryDue asks the holders of the leaves whose time has come.
+func (run *searchRun) retryDue() {
+	now := run.now()
+	waiting := run.waiting
+	run.waiting = nil
+	for _, call := range waiting {
+		if call.ended {
+			continue
+		}
+		if now < call.retryAt {
+			run.waiting = append(run.waiting, call)
+			continue
+		}
+		if host, found := run.nextHolder(call); found {
+			run.send(host, []string{call.choice.Leaf})
+		}
+	}
+}
+
+// pendingBeside reports whether another call than the given one may still be
+// answered.
+func (p *partCalls) pendingBeside(call *leafCall) bool {
+	for _, other := range p.calls {
+		if other != call && !other.ended {
+			return true
+		}
+	}
+	return p.answered
+}
+
 // pending reports whether another call of the part may still be answered.
 func (p *partCalls) pending() bool {
 	for _, call := range p.calls {
@@ -59,9 +116,10 @@
 	return run.state.retries.Take(run.now())
 }
 
-// try calls another leaf for a part.
-func (run *searchRun) try(choice snapshot.Choice, part *partCalls) {
+// try calls another leaf for a part, under a permit if it is on trial.
+func (run *searchRun) try(choice snapshot.Choice, part *partCalls, permit *quarantine.Permit) {
 	call := run.add(choice, part)
+	call.permit = permit
 	host, found := run.nextHolder(call)
 	if !found {
 		run.failLeaf(choice.Leaf, kind.Unavailable)
--- a/internal/entry/search_run.go
+++ b/internal/entry/search_run.go
@@ -6,6 +6,7 @@
 
 	"github.com/redwingshelf/redwingshelf/internal/coverage"
 	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/quarantine"
 	"github.com/redwingshelf/redwingshelf/internal/snapshot"
 	"github.com/redwingshelf/redwingshelf/internal/wire"
 )
@@ -19,6 +20,12 @@
 	tried []string
 	// part is shared by the calls that cover the same part of the key space.
 	part *partCalls
+	// permit is set for a call on trial.
+	permit *quarantine.Permit
+	// backoffs counts the rounds of holders that have been waited for, and retryAt
+	// is when the next one begins.
+	backoffs int
+	retryAt  time.Duration
 	// ended is set once the call needs no further result.
 	ended bool
 }
@@ -40,6 +47,7 @@
 	state      *serviceState
 	query      *snapshot.Query
 	answerBy   time.Duration
+	bias       hostBias
 	collector  *coverage.Collector
 	events     chan searchEvent
 	generation int
@@ -49,6 +57,8 @@
 	answered   int
 	batches    []*batch
 	hedging    hedging
+	// waiting holds the calls whose holders are asked again later.
+	waiting []*leafCall
 }
 
 func (run *searchRun) now() time.Duration { return run.searcher.states.now() }
@@ -59,6 +69,7 @@
 	run.generation++
 	run.answered = 0
 	run.parts = nil
+	run.waiting = nil
 	run.calls = make(map[string]*leafCall, len(plan.Choices))
 	run.collector = coverage.New(plan.Snapshot, run.request.Limit, len(plan.Choices))
 	groups := map[Host][]string{}
@@ -93,31 +104,13 @@
 func (run *searchRun) nextHolder(call *leafCall) (Host, bool) {
 	run.state.mu.Lock()
 	defer run.state.mu.Unlock()
-	host, _, found := run.state.pickHolder(run.now(), run.searcher.router, call.choice.Leaf, call.tried)
+	host, _, found := run.state.pickHolder(run.now(), run.searcher.router, call.choice.Leaf, call.tried, run.bias)
 	if found {
 		call.tried = append(call.tried, host.Name)
 	}
 	return host, found
 }
 
-func (run *searchRun) message(leaves []string) *wire.Scatter {
-	r := run.request
-	budget := run.answerBy - run.now()
-	return &wire.Scatter{
-		RequestID:    r.ID,
-		AttemptID:    attemptID(r.ID, run.sent),
-		Customer:     r.Customer,
-		Service:      r.Service,
-		Class:        r.Class,
-		Snapshot:     run.collector.Pinned().Name,
-		Idempotent:   true,
-		BudgetMicros: budget.Microseconds(),
-		Fingerprint:  r.Fingerprint,
-		Body:         r.Body,
-		Leaves:       leaves,
-	}
-}
-
 func (run *searchRun) emit(e searchEvent) {
 	select {
 	case run.events <- e:
@@ -144,6 +137,7 @@
 			run.handle(e)
 		case <-timer.C:
 			run.hedgeDue()
+			run.retryDue()
 		case <-run.ctx.Done():
 			if run.now() < run.answerBy {
 				return nil, kind.Errorf(kind.Canceled, "the caller went away")
@@ -159,6 +153,9 @@
 	if run.hedging.at > 0 {
 		at = min(at, run.hedging.at)
 	}
+	for _, call := range run.waiting {
+		at = min(at, call.retryAt)
+	}
 	return max(at-run.now(), 0)
 }
 
@@ -167,6 +164,10 @@
 		run.handleEnd(e)
 		return
 	}
+	if e.grant != nil {
+		run.handleGrant(e.grant)
+		return
+	}
 	r := e.result
 	if r.RequestID != run.request.ID || !e.batch.open[r.Leaf] {
 		return
@@ -216,6 +217,13 @@
 	if call == nil || call.ended {
 		return
 	}
+	if r.Kind != "" && call.permit != nil {
+		run.endPermit(call.permit, r.Run != string(kind.RunNo))
+	}
+	if r.Kind != "" && r.Died && !call.part.pendingBeside(call) {
+		run.requestTrial(call)
+		return
+	}
 	if r.Kind != "" {
 		run.failLeaf(r.Leaf, resultKind(r))
 		return
@@ -271,6 +279,11 @@
 
 // finish counts the calls that are given up as ended.
 func (run *searchRun) finish() {
+	for _, call := range run.calls {
+		if !call.ended {
+			run.endPermit(call.permit, true)
+		}
+	}
 	run.state.mu.Lock()
 	defer run.state.mu.Unlock()
 	for _, b := range run.batches {
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -16,25 +16,60 @@
 type Submitter struct {
 	router  Router
 	holders Holders
+	screen  Screen
 }
 
 // NewSubmitter returns a submitter.
-func NewSubmitter(router Router, holders Holders) *Submitter {
-	return &Submitter{router: router, holders: holders}
+func NewSubmitter(router Router, holders Holders, screen Screen) *Submitter {
+	return &Submitter{router: router, holders: holders, screen: screen}
 }
 
 // Serve is the Handler of requests that are not idempotent.
 func (s *Submitter) Serve(ctx context.Context, r *Request) (*Answer, error) {
-	err := error(kind.Errorf(kind.Unavailable, "no leaf can take the request now"))
+	answer, err := s.submit(ctx, r)
+	if err != nil && r.Permit != nil {
+		s.screen.EndPermit(*r.Permit, !notRun(err))
+	}
+	return answer, err
+}
+
+func (s *Submitter) submit(ctx context.Context, r *Request) (*Answer, error) {
 	if r.MarkSent != nil && !r.MarkSent() {
 		return nil, kind.Errorf(kind.AlreadyRunning, "the request's ticket is no longer good")
 	}
 	attempt := 0
+	for round := 0; ; round++ {
+		answer, err := s.round(ctx, r, &attempt)
+		if err == nil || !notRun(err) || !holderMatters(kind.Of(err)) || !waitRound(ctx, round) {
+			return answer, err
+		}
+	}
+}
+
+// waitRound waits before the leaves of a request are tried again, and returns
+// false if there is no time left for that.
+func waitRound(ctx context.Context, round int) bool {
+	if round >= maxBackoffs {
+		return false
+	}
+	timer := time.NewTimer(firstBackoff << round)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// round tries each leaf of the request's shard through each of its holders.
+func (s *Submitter) round(ctx context.Context, r *Request, attempt *int) (*Answer, error) {
+	err := error(kind.Errorf(kind.Unavailable, "no leaf can take the request now"))
 	for _, leaf := range s.leaves(r) {
 		for _, host := range s.hosts(leaf) {
-			attempt++
+			*attempt++
 			var answer *Answer
-			answer, err = s.try(ctx, r, host, leaf, attempt)
+			answer, err = s.try(ctx, r, host, leaf, *attempt)
 			if err == nil {
 				return answer, nil
 			}
@@ -82,8 +117,10 @@
 		Customer:     r.Customer,
 		Service:      r.Service,
 		Class:        r.Class,
-		BudgetMicros: (time.Until(r.Deadline) - answerMargin).Microseconds(),
+		BudgetMicros: budgetMicros(r),
 		Fingerprint:  r.Fingerprint,
+		Permit:       r.Permit,
+		Known:        s.screen.Known(r.Fingerprint),
 		Body:         r.Body,
 		Leaves:       []string{leaf},
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -17,13 +18,16 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/redwingshelf/redwingshelf/internal/blob"
+	"github.com/redwingshelf/redwingshelf/internal/document"
 	"github.com/redwingshelf/redwingshelf/internal/entry"
 	"github.com/redwingshelf/redwingshelf/internal/fleet"
 	"github.com/redwingshelf/redwingshelf/internal/holder"
+	"github.com/redwingshelf/redwingshelf/internal/hostlist"
 	"github.com/redwingshelf/redwingshelf/internal/once"
 	"github.com/redwingshelf/redwingshelf/internal/peer"
 	"github.com/redwingshelf/redwingshelf/internal/permit"
 	"github.com/redwingshelf/redwingshelf/internal/routing"
+	"github.com/redwingshelf/redwingshelf/internal/screen"
 	"github.com/redwingshelf/redwingshelf/internal/settings"
 	"github.com/redwingshelf/redwingshelf/internal/wire"
 )
@@ -46,6 +50,7 @@
 	fleet       *fleet.Controller
 	permits     *permit.Controller
 	beats       processes
+	screen      *screen.Controller
 	holder      *holder.Holder
 	pool        *peer.Pool
 	peers       *peer.Server
@@ -54,6 +59,11 @@
 	self        once.Process
 	tickets     *entry.Tickets
 	forwarded   entry.Handler
+	// checked is the document that the controller of the configuration has
+	// checked last; only its goroutine uses it.
+	checked *document.Loaded
+	// hostList is the list in force; only the goroutine of its controller uses it.
+	hostList    *hostlist.List
 	config      *blob.Controller
 	hosts       *blob.Controller
 	configReady chan struct{}
@@ -98,7 +108,8 @@
 		open.close()
 		return nil, err
 	}
-	n.holder = holder.New(n.permits, nil, n.targets, n.scope)
+	n.screen = n.newScreen()
+	n.holder = holder.New(n.permits, n.screen, n.targets, n.scope)
 	n.self = n.process()
 	n.tickets = entry.NewTickets(n.self, &holders{node: n})
 	n.peers = peer.NewServer(open.peer, hello, traffic, &peerHandler{node: n})
@@ -133,8 +144,9 @@
 	}
 }
 
-// Run serves until ctx ends, and then stops without cutting off any request.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves until ctx ends, and then stops without cutting off any request. A
+// receive from hurry ends the wait for the balancer early; nothing else.
+func (n *Node) Run(ctx context.Context, hurry <-chan os.Signal) error {
 	defer func() { _ = n.closer.Close() }()
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -147,12 +159,13 @@
 	group.Go(func() error { return n.holder.Run(groupCtx) })
 	group.Go(func() error { return n.permits.Run(groupCtx) })
 	group.Go(func() error { return n.fleet.Run(groupCtx) })
+	group.Go(func() error { return n.screen.Run(groupCtx) })
 	group.Go(func() error { return n.becomeReady(groupCtx) })
 	group.Go(func() error {
 		defer cancel()
 		select {
 		case <-ctx.Done():
-			return n.stop()
+			return n.stop(hurry)
 		case err := <-n.failed:
 			return errors.Join(err, n.close())
 		case <-groupCtx.Done():
@@ -174,13 +187,16 @@
 
 // stop ends the node in order: it reports not ready, serves on while the
 // balancer lags, waits for running requests and then closes.
-func (n *Node) stop() error {
+func (n *Node) stop(hurry <-chan os.Signal) error {
 	n.stopping.Store(true)
 	n.fleet.SetLeaving()
 	n.announce()
 	n.tickets.Stop()
 	n.logger.Info("node stopping")
-	time.Sleep(n.settings.Stop.BalancerLag())
+	select {
+	case <-time.After(n.settings.Stop.BalancerLag()):
+	case <-hurry:
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	err := n.callers.Shutdown(ctx)
@@ -199,8 +215,8 @@
 
 func (n *Node) newCallerServer() *http.Server {
 	holders := &holders{node: n}
-	searcher := entry.NewSearcher(n.table, holders)
-	submitter := entry.NewSubmitter(n.table, holders)
+	searcher := entry.NewSearcher(n.table, holders, n.screen)
+	submitter := entry.NewSubmitter(n.table, holders, n.screen)
 	last := func(ctx context.Context, r *entry.Request) (*entry.Answer, error) {
 		if r.Idempotent {
 			return searcher.Serve(ctx, r)
@@ -209,12 +225,15 @@
 	}
 	handler := entry.Chain(last,
 		entry.Measure(n.scope.SubScope("entry")),
+		entry.Limit(n.settings.Limits.MaxRequests),
 		entry.Identify(n.table),
 		entry.Deadline(),
 		entry.AtMostOnce(n.tickets),
+		entry.Quarantine(n.screen),
 	)
+	submit := entry.Chain(submitter.Serve, entry.Quarantine(n.screen))
 	n.forwarded = entry.Chain(func(ctx context.Context, r *entry.Request) (*entry.Answer, error) {
-		return n.tickets.Serve(ctx, r, submitter.Serve)
+		return n.tickets.Serve(ctx, r, submit)
 	}, entry.Identify(n.table), entry.Deadline())
 	limits := n.settings.Limits
 	return &http.Server{
