--- a/internal/peer/contract_test.go
+++ b/internal/peer/contract_test.go
@@ -92,10 +92,10 @@
 	_, _, _, err = ask(ctx, pool, address, "refuse")
 	require.Equal(t, kind.NotHolder, kind.Of(err))
 
-	stream, _, _, err = ask(ctx, pool, address, "flood")
-	for err == nil && ok {
-		_, ok, err = stream.Recv(ctx)
-	}
+	stream, err = pool.Call(ctx, address, wire.TypeHeld, &wire.Held{Leaves: []string{"flood"}}, 1)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return stream.error() != nil }, testTimeout, time.Millisecond)
+	require.ErrorIs(t, stream.error(), ErrOverflow)
 	stream.Close()
 
 	stream, _, _, err = ask(ctx, pool, address, "wait")
