--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -50,10 +50,10 @@
 	doc := smallDocument()
 	doc.Deployments[0].Services[0].Policy.DeadlineMS = 4000
 	c := start(t, 4, doc, standin.LeafOptions{StartWarm: true, ServiceTime: slow}, standin.NewSnapshot("1-first", 90, 3))
-	c.requireWholeAgain()
 	var mu sync.Mutex
 	var exchanges []exchange
 	for i, p := range c.nodes[:3] {
+		c.requireWholeAgain()
 		note := c.note(p, i)
 		before := c.countBegun()
 		var wg sync.WaitGroup
