--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -62,6 +62,8 @@
 	// node's peer listener; proxyService puts one between each node and the
 	// platform.
 	proxyLeaves, proxyPeers, proxyService bool
+	// deadHost lists one more host that does not run.
+	deadHost bool
 }
 
 // cluster is a fleet of node processes with the stand-ins around it.
@@ -113,6 +115,12 @@
 	for i := range s.nodes {
 		c.addHost(i)
 	}
+	if s.deadHost {
+		dead := c.hosts.Hosts[0]
+		dead.Name = "dead"
+		dead.Address = freeAddress(t)
+		c.hosts.Hosts = append(c.hosts.Hosts, dead)
+	}
 	platform.SetHosts(c.hosts)
 	for _, p := range c.nodes {
 		c.startNode(p)
--- a/internal/e2e/partition_test.go
+++ b/internal/e2e/partition_test.go
@@ -161,6 +161,18 @@
 	require.NotZero(t, load.count())
 }
 
+// TestStartBesideADeadHost starts a fleet whose host list names a host that no
+// longer runs.
+func TestStartBesideADeadHost(t *testing.T) {
+	c := setup{
+		nodes: 4, doc: smallDocument(), deadHost: true,
+		leaf: standin.LeafOptions{ServiceTime: time.Millisecond},
+		held: []*standin.Snapshot{standin.NewSnapshot("1-first", 90, 3)},
+	}.start(t)
+	c.requireWholeAgain()
+	c.requireWithinBounds()
+}
+
 // listHosts publishes a host list with the next revision.
 func (c *cluster) listHosts(hosts []hostlist.Host) {
 	c.hosts.Revision++
