--- a/internal/e2e/cold_test.go
+++ b/internal/e2e/cold_test.go
@@ -17,6 +17,7 @@
 func TestColdLeavesGetLittle(t *testing.T) {
 	doc := smallDocument()
 	limits := &doc.Deployments[0].Services[0].Leaf
+	limits.Slots = 4
 	limits.ColdSlots = 1
 	limits.WarmAfter = 60
 	c := start(t, 6, doc, coldLeaf, standin.NewSnapshot("1-first", 90, 3))
@@ -54,6 +55,7 @@
 func TestColdWithoutWarning(t *testing.T) {
 	doc := smallDocument()
 	limits := &doc.Deployments[0].Services[0].Leaf
+	limits.Slots = 4
 	limits.ColdSlots = 1
 	limits.WarmAfter = 60
 	c := start(t, 4, doc, standin.LeafOptions{StartWarm: true, ServiceTime: 4 * time.Millisecond}, standin.NewSnapshot("1-first", 90, 3))
--- a/internal/standin/leaf.go
+++ b/internal/standin/leaf.go
@@ -53,7 +53,7 @@
 	Refuse string
 	// ReportWarm makes the leaf report itself warm while it is cold.
 	ReportWarm bool
-	// CrossAnswers echoes another request's id.
+	// CrossAnswers answers what the request before asked for, under another id.
 	CrossAnswers bool
 	// Truncate ends each answer half way.
 	Truncate bool
@@ -74,10 +74,12 @@
 	address string
 
 	// mu guards the fields below.
-	mu       sync.Mutex
-	server   *http.Server
-	rng      *rand.Rand
-	faults   Faults
+	mu     sync.Mutex
+	server *http.Server
+	rng    *rand.Rand
+	faults Faults
+	// lastBody is the body of the latest request that was begun.
+	lastBody []byte
 	held     []*Snapshot
 	heldText string
 	recorder recorder
--- a/internal/standin/leaf_http.go
+++ b/internal/standin/leaf_http.go
@@ -122,6 +122,9 @@
 func (l *Leaf) answer(w http.ResponseWriter, r *http.Request, work admitted, body []byte) {
 	from, to := l.keyRange(work.snapshot)
 	answer := l.accept(work.record)
+	if work.faults.CrossAnswers && work.crossed != nil {
+		body = work.crossed
+	}
 	if work.record.Idempotent {
 		answer = work.snapshot.Answer(from, to, body)
 	}
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -30,6 +30,9 @@
 	duration time.Duration
 	faults   Faults
 	crash    bool
+	// crossed is the body of the request that is answered instead, if the leaf
+	// crosses answers.
+	crossed []byte
 }
 
 // admit records a request and decides whether it is refused.
@@ -52,12 +55,15 @@
 		return admitted{}, refusal
 	}
 	record.Snapshot = snapshot.Name
+	crossed := l.lastBody
+	l.lastBody = body
 	l.begin()
 	return admitted{
 		record:   record,
 		snapshot: snapshot,
 		duration: l.duration(),
 		faults:   l.faults,
+		crossed:  crossed,
 		crash:    l.faults.Poison != "" && bytes.Contains(body, []byte(l.faults.Poison)),
 	}, ""
 }
