--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -99,8 +99,15 @@
 	return setup{nodes: n, doc: doc, leaf: leafOptions, held: held}.start(t)
 }
 
+// running bounds the clusters that run at once.
+var running = make(chan struct{}, 2)
+
+// start runs the cluster beside at most one other test's.
 func (s setup) start(t *testing.T) *cluster {
 	t.Helper()
+	t.Parallel()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
 	platform, err := standin.NewPlatform()
 	require.NoError(t, err)
 	t.Cleanup(platform.Close)
