--- a/internal/e2e/partition_test.go
+++ b/internal/e2e/partition_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +14,9 @@
 // longPause is longer than every lease and every call.
 const longPause = 10 * time.Second
 
+// lateRequests wait at a frozen node for it to wake.
+const lateRequests = 40
+
 // TestFrozenNodeSendsOnNoOldPermit freezes a node under load until its deputies
 // have taken its shares, and wakes it: the leaves must never count more than
 // they bear.
@@ -23,7 +27,13 @@
 	c.freeze(c.nodes[0])
 	time.Sleep(longPause)
 	load.waitAnswers(100)
+	var late sync.WaitGroup
+	for n := range lateRequests {
+		late.Go(func() { load.add(c.nodes[0].exchange(searchAll(int64(-n)))) })
+	}
+	load.waitAnswers(100)
 	c.wake(c.nodes[0])
+	late.Wait()
 	load.waitAnswers(300)
 	load.stop()
 	c.requireWithinBounds()
