--- a/internal/e2e/partition_test.go
+++ b/internal/e2e/partition_test.go
@@ -21,7 +21,7 @@
 // have taken its shares, and wakes it: the leaves must never count more than
 // they bear.
 func TestFrozenNodeSendsOnNoOldPermit(t *testing.T) {
-	c := start(t, 6, smallDocument(), standin.LeafOptions{StartWarm: true, ServiceTime: 10 * time.Millisecond}, standin.NewSnapshot("1-first", 90, 3))
+	c := start(t, 6, smallDocument(), standin.LeafOptions{StartWarm: true, ServiceTime: 60 * time.Millisecond}, standin.NewSnapshot("1-first", 90, 3))
 	load := c.startLoad(24)
 	load.waitAnswers(200)
 	c.freeze(c.nodes[0])
