--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -116,6 +116,26 @@
 func (l *load) stop() {
 	l.stopped.Store(true)
 	l.wg.Wait()
+	if l.cluster.t.Failed() {
+		l.cluster.t.Logf("answers by node: %v", l.outcomes())
+	}
+}
+
+// outcomes counts the exchanges by node and result.
+func (l *load) outcomes() map[string]int {
+	counts := map[string]int{}
+	for _, e := range l.exchanges {
+		counts[e.node.settings.Name+": "+e.summary()]++
+	}
+	return counts
+}
+
+func (e *exchange) summary() string {
+	if e.err != nil {
+		return e.err.Error()
+	}
+	a := e.answer
+	return fmt.Sprintf("%d %s %s %d/%d %v", a.Status, a.Kind, a.Message, a.Coverage.Covered, a.Coverage.Total, a.Coverage.Missing)
 }
 
 // anyNode returns one of the nodes that can be reached.
