Answer run "unknown" to a resend that is refused before its ticket is looked at

Limits, deadlines and unknown names are checked before the ticket. A resend that such a check refused was told run "no" although the first request had run; its caller then takes a new ticket and the request runs twice. Every refusal of a request with a ticket is now "unknown" until the ticket's process has decided on it; putting the ticket first was ruled out, since a ticket of another host would then pass the limits of this one.

A connection to a leaf is retired for silence only after two looks, since a pause of this process made healthy ones look silent.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -62,6 +62,9 @@
 
 func (h *HTTP) serve(w http.ResponseWriter, r *http.Request, idempotent bool) {
 	request, err := h.parse(w, r, idempotent)
+	if err != nil && !idempotent && r.Header.Get(HeaderTicket) != "" {
+		err = kind.WithRun(err, kind.RunUnknown)
+	}
 	if err != nil {
 		writeError(w, "", err)
 		return
--- a/internal/entry/tickets.go
+++ b/internal/entry/tickets.go
@@ -108,6 +108,21 @@
 	}
 }
 
+// UndecidedMayHaveRun is the filter that answers run "unknown" for a request with
+// a ticket that was refused before the ticket's process has decided on it: an
+// earlier request with the same ticket may have run.
+func UndecidedMayHaveRun() Filter {
+	return func(next Handler) Handler {
+		return func(ctx context.Context, r *Request) (*Answer, error) {
+			answer, err := next(ctx, r)
+			if err != nil && r.Ticket != "" && !r.Idempotent && !r.Decided {
+				err = kind.WithRun(err, kind.RunUnknown)
+			}
+			return answer, err
+		}
+	}
+}
+
 // Serve decides on a forwarded request in this process; next runs it.
 func (t *Tickets) Serve(ctx context.Context, r *Request, next Handler) (*Answer, error) {
 	ticket, err := once.ParseTicket(r.Ticket)
@@ -119,6 +134,7 @@
 
 func (t *Tickets) decide(ctx context.Context, r *Request, ticket once.Ticket, next Handler) (*Answer, error) {
 	decision := t.table.Begin(t.now(), ticket, contentOf(r))
+	r.Decided = true
 	switch decision.Verdict {
 	case once.Run:
 		return t.run(ctx, r, ticket, next)
@@ -184,6 +200,7 @@
 	if err != nil {
 		return nil, kind.WithRun(kind.Errorf(kind.TicketUnknown, "the host of the ticket can't be reached: %w", err), kind.RunUnknown)
 	}
+	r.Decided = true
 	if result.Kind == "" {
 		return &Answer{Leaf: result.Leaf, Body: result.Body, Replayed: result.Replayed}, nil
 	}
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -48,6 +48,9 @@
 	Stage bool
 	// Permit is set for a suspect content, which runs on trial first.
 	Permit *quarantine.Permit
+	// Decided is set once the process that holds the ticket has decided on the
+	// request. Only after that a refusal may say that it has not run.
+	Decided bool
 	// MarkSent is called directly before the first byte of a request that is not
 	// idempotent may be sent; the request is not sent if it returns false.
 	MarkSent func() bool
@@ -100,7 +103,7 @@
 	// Holders returns the hosts that can call a leaf: the owners of its shares,
 	// the one that handles a cold leaf first, and then their deputies.
 	Holders(leaf string) []Host
-	// Down reports whether a host is known not to serve now.
+	// Down reports whether a host is not known to serve now.
 	Down(host string) bool
 }
 
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -47,11 +47,15 @@
 // that spread revisions.
 func (n *Node) membersChanged(members []member.Member) {
 	down := map[string]bool{}
+	dead := map[string]bool{}
 	var peers []confsync.Peer
 	for _, m := range members {
-		if m.State == member.Dead || m.State == member.Leaving {
+		if m.State != member.Alive {
 			down[m.Name] = true
 		}
+		if m.State == member.Dead {
+			dead[m.Name] = true
+		}
 		if m.State == member.Dead {
 			continue
 		}
@@ -64,7 +68,7 @@
 			Revision:    m.Record.ConfigRevision,
 		})
 	}
-	n.table.SetDown(down)
+	n.table.SetDown(down, dead)
 	n.config.SetMembers(peers)
 	n.hosts.SetMembers(withoutRevisions(peers))
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -19,7 +19,7 @@
 	readBufferSize  = 4 << 10
 	writeBufferSize = 64 << 10
 	writeTimeout    = 5 * time.Second
-	helloTimeout    = 2 * time.Second
+	helloTimeout    = 500 * time.Millisecond
 )
 
 // Errors of links and streams.
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,6 +48,8 @@
 // remote is one address with its current link.
 type remote struct {
 	address string
+	// failing is set while the last dial has failed.
+	failing atomic.Bool
 	// mu guards the fields below and is held while dialling.
 	mu       sync.Mutex
 	link     *clientLink
@@ -57,6 +60,7 @@
 // clientLink is the dialling end of a link with its open streams.
 type clientLink struct {
 	*link
+	silence silence
 	// mu guards the fields below.
 	mu      sync.Mutex
 	streams map[uint64]*Stream
@@ -148,6 +152,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	l.silence.sent.Store(true)
 	s := l.open(buffer)
 	if s == nil {
 		return nil, ErrNotSent
@@ -168,6 +173,7 @@
 	}
 	r := p.remote(address)
 	if l := r.current(); l != nil {
+		l.silence.sent.Store(true)
 		return l.offer(wire.Frame{Type: t, Payload: payload})
 	}
 	p.mu.Lock()
@@ -218,7 +224,11 @@
 
 // get returns the live link, dialling if there is none.
 func (r *remote) get(ctx context.Context, p *Pool) (*clientLink, error) {
-	r.mu.Lock()
+	if !r.failing.Load() {
+		r.mu.Lock()
+	} else if !r.mu.TryLock() {
+		return nil, fmt.Errorf("peer %s: an earlier dial failed and another is under way", r.address)
+	}
 	defer r.mu.Unlock()
 	if l := r.alive(); l != nil {
 		return l, nil
@@ -230,9 +240,11 @@
 	if err != nil {
 		r.err = err
 		r.failedAt = time.Now()
+		r.failing.Store(true)
 		return nil, err
 	}
 	r.err = nil
+	r.failing.Store(false)
 	r.link = l
 	return l, nil
 }
@@ -261,6 +273,7 @@
 	}
 	p.wg.Go(l.writeLoop)
 	p.wg.Go(func() { l.readLoop(reader) })
+	p.wg.Go(l.watchSilence)
 	return l, nil
 }
 
@@ -299,6 +312,7 @@
 		if err != nil {
 			return
 		}
+		l.silence.heard.Store(true)
 		if s := l.stream(frame.Stream); s != nil {
 			s.deliver(frame)
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -171,6 +171,8 @@
 
 func (l *serverLink) dispatch(ctx context.Context, frame wire.Frame) {
 	switch {
+	case frame.Type == wire.TypePing:
+		l.offer(wire.Frame{Type: wire.TypePong})
 	case frame.Type == wire.TypeCancel:
 		l.cancelCall(frame.Stream)
 	case frame.Type == wire.TypeCancelLeaf:
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -24,6 +24,7 @@
 	planner *placement.Planner
 	view    atomic.Pointer[view]
 	down    atomic.Pointer[map[string]bool]
+	dead    atomic.Pointer[map[string]bool]
 }
 
 // view is one consistent state of the table. It is never changed.
@@ -40,7 +41,7 @@
 func New(self string) *Table {
 	t := &Table{self: self}
 	t.view.Store(&view{})
-	t.SetDown(nil)
+	t.SetDown(nil, nil)
 	return t
 }
 
@@ -91,8 +92,12 @@
 // Down implements entry.Router.
 func (t *Table) Down(host string) bool { return (*t.down.Load())[host] }
 
-// SetDown replaces the set of hosts that are known not to serve.
-func (t *Table) SetDown(down map[string]bool) { t.down.Store(&down) }
+// SetDown replaces the sets of hosts that are not known to serve, and of those
+// that are known to be dead.
+func (t *Table) SetDown(down, dead map[string]bool) {
+	t.down.Store(&down)
+	t.dead.Store(&dead)
+}
 
 // Address returns the peer address of a host in the list in force.
 func (t *Table) Address(host string) (string, bool) {
@@ -107,11 +112,11 @@
 }
 
 // PeerHosts returns the names of the other hosts of the list that are not known
-// to be down.
+// to be dead.
 func (t *Table) PeerHosts() []string {
 	var names []string
 	for _, address := range t.view.Load().peers {
-		if host, found := t.HostAt(address); found && !t.Down(host) {
+		if host, found := t.HostAt(address); found && !(*t.dead.Load())[host] {
 			names = append(names, host)
 		}
 	}
--- a/internal/target/conns.go
+++ b/internal/target/conns.go
@@ -15,6 +15,8 @@
 	// silentAfter is how long a connection may owe an answer without any byte
 	// arriving while another connection of the leaf does answer.
 	silentAfter = 200 * time.Millisecond
+	// silentLooks is the time between the two looks at a silent connection.
+	silentLooks = 50 * time.Millisecond
 	// retiredCountsFor is how long a retired connection counts against the
 	// leaf's bound, since the leaf may not have noticed its end.
 	retiredCountsFor = 60 * time.Second
@@ -49,6 +51,9 @@
 type conn struct {
 	client *http.ClientConn
 	raw    *countedConn
+	// silentSince is when the connection was first seen silent; the lock of conns
+	// guards it.
+	silentSince time.Time
 	// retired is set before this end closes the connection.
 	retired atomic.Bool
 	// mu guards inFlight and owingSince.
@@ -200,9 +205,23 @@
 	c.open = kept
 }
 
-// silentLocked reports whether a connection owes an answer for too long while
-// another connection has received bytes since.
+// silentLocked reports whether a connection has been silent at two looks. One
+// look is not enough: after a pause of this process the bytes of some connections
+// are read before those of others.
 func (c *conns) silentLocked(candidate *conn, now time.Time) bool {
+	if !c.owesTooLong(candidate, now) {
+		candidate.silentSince = time.Time{}
+		return false
+	}
+	if candidate.silentSince.IsZero() {
+		candidate.silentSince = now
+	}
+	return now.Sub(candidate.silentSince) >= silentLooks
+}
+
+// owesTooLong reports whether a connection owes an answer for too long while
+// another connection has received bytes since.
+func (c *conns) owesTooLong(candidate *conn, now time.Time) bool {
 	since, owing := candidate.owing()
 	if !owing {
 		return false
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -56,6 +56,8 @@
 	TypePermitResult
 	TypeRecords
 	TypeRecordsResult
+	TypePing
+	TypePong
 	// NumTypes is greater than every type.
 	NumTypes
 )
@@ -81,6 +83,8 @@
 	TypeBeat:           "beat",
 	TypeMember:         "member",
 	TypeBlob:           "blob",
+	TypePing:           "ping",
+	TypePong:           "pong",
 	TypeQuarantineAck:  "quarantine_ack",
 	TypeQuarantineEnd:  "quarantine_end",
 	TypePermit:         "permit",
