--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -30,7 +30,7 @@
 )
 
 // waitLimit ends a wait for an event that never comes.
-const waitLimit = 30 * time.Second
+const waitLimit = 25 * time.Second
 
 // client gives a frozen node up in the end.
 var client = &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
@@ -62,6 +62,8 @@
 	// node's peer listener; proxyService puts one between each node and the
 	// platform.
 	proxyLeaves, proxyPeers, proxyService bool
+	// deadHost lists one more host that does not run.
+	deadHost bool
 }
 
 // cluster is a fleet of node processes with the stand-ins around it.
@@ -97,8 +99,15 @@
 	return setup{nodes: n, doc: doc, leaf: leafOptions, held: held}.start(t)
 }
 
+// running bounds the clusters that run at once.
+var running = make(chan struct{}, 2)
+
+// start runs the cluster beside at most one other test's.
 func (s setup) start(t *testing.T) *cluster {
 	t.Helper()
+	t.Parallel()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
 	platform, err := standin.NewPlatform()
 	require.NoError(t, err)
 	t.Cleanup(platform.Close)
@@ -113,6 +122,12 @@
 	for i := range s.nodes {
 		c.addHost(i)
 	}
+	if s.deadHost {
+		dead := c.hosts.Hosts[0]
+		dead.Name = "dead"
+		dead.Address = freeAddress(t)
+		c.hosts.Hosts = append(c.hosts.Hosts, dead)
+	}
 	platform.SetHosts(c.hosts)
 	for _, p := range c.nodes {
 		c.startNode(p)
