--- a/internal/e2e/partition_test.go
+++ b/internal/e2e/partition_test.go
@@ -11,30 +11,30 @@
 	"github.com/redwingshelf/redwingshelf/internal/standin"
 )
 
-// longPause is longer than every lease and every call.
-const longPause = 10 * time.Second
-
 // lateRequests wait at a frozen node for it to wake.
 const lateRequests = 40
 
-// TestFrozenNodeSendsOnNoOldPermit freezes a node under load until its deputies
-// have taken its shares, and wakes it: the leaves must never count more than
-// they bear.
+// TestFrozenNodeSendsOnNoOldPermit freezes nodes under load until their deputies
+// have taken their shares, and wakes them with requests waiting: the leaves must
+// never count more than they bear. The shorter pause ends while the node still
+// takes the leaves for warm.
 func TestFrozenNodeSendsOnNoOldPermit(t *testing.T) {
 	c := start(t, 6, smallDocument(), standin.LeafOptions{StartWarm: true, ServiceTime: 60 * time.Millisecond}, standin.NewSnapshot("1-first", 90, 3))
 	load := c.startLoad(24)
 	load.waitAnswers(200)
-	c.freeze(c.nodes[0])
-	time.Sleep(longPause)
-	load.waitAnswers(100)
-	var late sync.WaitGroup
-	for n := range lateRequests {
-		late.Go(func() { load.add(c.nodes[0].exchange(searchAll(int64(-n)))) })
+	for i, pause := range []time.Duration{5 * time.Second, 10 * time.Second} {
+		frozen := c.nodes[5*i]
+		c.freeze(frozen)
+		time.Sleep(pause)
+		var late sync.WaitGroup
+		for n := range lateRequests {
+			late.Go(func() { load.add(frozen.exchange(searchAll(int64(-n)))) })
+		}
+		load.waitAnswers(50)
+		c.wake(frozen)
+		late.Wait()
+		load.waitAnswers(100)
 	}
-	load.waitAnswers(100)
-	c.wake(c.nodes[0])
-	late.Wait()
-	load.waitAnswers(300)
 	load.stop()
 	c.requireWithinBounds()
 	c.requireWholeAgain()
