--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -207,7 +207,7 @@
 	defer c.proxy.mu.Unlock()
 	_, open := c.proxy.pairs[c]
 	switch {
-	case c.silent || !open:
+	case c.silent || !open || c.proxy.closed:
 		return drop
 	case up && f.SilentUp || !up && f.SilentDown:
 		return hold
