--- a/internal/e2e/once_test.go
+++ b/internal/e2e/once_test.go
@@ -17,7 +17,6 @@
 // good.
 type submitter struct {
 	*load
-	answered int
 }
 
 // maxResends bounds the resends of one note.
--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -16,8 +16,11 @@
 	30*time.Second,
 )
 
+// coverageBuckets are the bounds of the coverage histograms, in percent.
+var coverageBuckets = tally.ValueBuckets{0, 10, 25, 50, 75, 90, 95, 99, 99.99, 100}
+
 // Measure counts requests by customer, class and outcome, and records their
-// latency in a histogram for each customer and class.
+// latency and coverage in a histogram for each customer and class.
 func Measure(scope tally.Scope) Filter {
 	return func(next Handler) Handler {
 		return func(ctx context.Context, r *Request) (*Answer, error) {
@@ -28,6 +31,11 @@
 			}
 			tagged := scope.Tagged(tags)
 			tagged.Histogram("request_latency", latencyBuckets).RecordDuration(time.Since(r.Received))
+			if answer != nil && answer.Result != nil && answer.Result.Share.Known() {
+				share := answer.Result.Share
+				tagged.Histogram("coverage_percent", coverageBuckets).
+					RecordValue(100 * float64(share.Covered) / float64(share.Total))
+			}
 			outcome := "ok"
 			if err != nil {
 				outcome = kind.Of(err).String()
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/redwingshelf/redwingshelf/internal/kind"
 	"github.com/redwingshelf/redwingshelf/internal/snapshot"
 	"github.com/redwingshelf/redwingshelf/internal/wire"
@@ -23,12 +25,13 @@
 	router  Router
 	holders Holders
 	screen  Screen
+	scope   tally.Scope
 	states  serviceStates
 }
 
 // NewSearcher returns a searcher.
-func NewSearcher(router Router, holders Holders, screen Screen) *Searcher {
-	return &Searcher{router: router, holders: holders, screen: screen, states: serviceStates{start: time.Now()}}
+func NewSearcher(router Router, holders Holders, screen Screen, scope tally.Scope) *Searcher {
+	return &Searcher{router: router, holders: holders, screen: screen, scope: scope, states: serviceStates{start: time.Now()}}
 }
 
 // Serve is the Handler of idempotent requests.
--- a/internal/entry/search_hedge.go
+++ b/internal/entry/search_hedge.go
@@ -76,6 +76,7 @@
 	switch {
 	case found:
 		part.hedges++
+		run.count("hedges")
 		run.try(choice, part, nil)
 		run.wakeAt(now + hedgeRecheck)
 	case decision.Verdict == hedge.Wait && decision.At > 0:
--- a/internal/entry/search_retry.go
+++ b/internal/entry/search_retry.go
@@ -39,6 +39,7 @@
 	run.state.mu.Unlock()
 	switch action.Step {
 	case snapshot.StepTry:
+		run.count("retries")
 		run.try(action.Leaf, call.part, nil)
 	case snapshot.StepRestart:
 		run.begin(action.Plan)
--- a/internal/entry/search_run.go
+++ b/internal/entry/search_run.go
@@ -147,6 +147,12 @@
 	}
 }
 
+// count counts one event of the query's customer and service.
+func (run *searchRun) count(name string) {
+	tags := map[string]string{"customer": run.request.Customer, "service": run.request.Service}
+	run.searcher.scope.Tagged(tags).Counter(name).Inc(1)
+}
+
 // wakeIn returns the time until the deadline or the next decision on a hedge.
 func (run *searchRun) wakeIn() time.Duration {
 	at := run.answerBy
--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -42,9 +42,11 @@
 	if err != nil {
 		result := l.fail(c, id, epoch, deadline, err)
 		l.reportDeath(c, &result)
+		l.holder.countCall(result.Kind)
 		return result
 	}
 	warm, busy := l.succeed(id, epoch, latency, answer)
+	l.holder.countCall("ok")
 	if c.Permit != nil {
 		l.holder.screen.EndTrial(*c.Permit, quarantine.TrialCompleted)
 	}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -309,6 +309,11 @@
 	return false
 }
 
+// countCall counts a leaf call that was made, by its outcome.
+func (h *Holder) countCall(outcome string) {
+	h.scope.Tagged(map[string]string{"outcome": outcome}).Counter("leaf_calls").Inc(1)
+}
+
 func refused(c *Call, err error) wire.LeafResult {
 	k := kind.Of(err)
 	return wire.LeafResult{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -215,7 +215,7 @@
 
 func (n *Node) newCallerServer() *http.Server {
 	holders := &holders{node: n}
-	searcher := entry.NewSearcher(n.table, holders, n.screen)
+	searcher := entry.NewSearcher(n.table, holders, n.screen, n.scope.SubScope("entry"))
 	submitter := entry.NewSubmitter(n.table, holders, n.screen)
 	last := func(ctx context.Context, r *entry.Request) (*entry.Answer, error) {
 		if r.Idempotent {
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,6 +32,7 @@
 	}
 	n.ready.Store(true)
 	n.announce()
+	debug.FreeOSMemory()
 	n.logger.Info("node ready", zap.Bool("shares", held))
 	return nil
 }
