Serve searches whole beside the death of a leaf

A staged search was given up when its first leaf was busy; it now tries again while its deadline allows. A search whose content other searches shared was refused by a holder while that content was on trial; it now waits for the trial and calls the leaf again.

--- a/internal/entry/search_retry.go
+++ b/internal/entry/search_retry.go
@@ -144,7 +144,7 @@
 // that they are near their limits.
 func loadsTarget(k kind.Kind) bool {
 	switch k {
-	case kind.NotHolder, kind.LeafCold, kind.Unavailable, kind.Stopping, kind.LeafLeaving, kind.SnapshotNotHeld:
+	case kind.NotHolder, kind.LeafCold, kind.Unavailable, kind.Stopping, kind.LeafLeaving, kind.SnapshotNotHeld, kind.ConnectFailed:
 		return false
 	default:
 		return true
--- a/internal/entry/search_run.go
+++ b/internal/entry/search_run.go
@@ -26,6 +26,9 @@
 	// is when the next one begins.
 	backoffs int
 	retryAt  time.Duration
+	// calledAgain is set once the call has been repeated after a refusal for its
+	// content.
+	calledAgain bool
 	// ended is set once the call needs no further result.
 	ended bool
 }
@@ -227,7 +230,11 @@
 		run.endPermit(call.permit, r.Run != string(kind.RunNo))
 	}
 	if r.Kind != "" && r.Died && !call.part.pendingBeside(call) {
-		run.requestTrial(call)
+		run.requestTrial(call, false)
+		return
+	}
+	if resultKind(r) == kind.Quarantined && r.Run == string(kind.RunNo) && !call.calledAgain {
+		run.requestTrial(call, true)
 		return
 	}
 	if r.Kind != "" {
--- a/internal/entry/search_trial.go
+++ b/internal/entry/search_trial.go
@@ -12,6 +12,9 @@
 // trialGrant is the answer to a request for a trial beside a query.
 type trialGrant struct {
 	call *leafCall
+	// sameLeaf is set if the call was refused as not run, so that its own leaf is
+	// called again.
+	sameLeaf bool
 	// permit is nil for a content that is no longer suspect.
 	permit *quarantine.Permit
 	err    error
@@ -21,12 +24,22 @@
 func (s *Searcher) runFirst(ctx context.Context, r *Request, pinned string) error {
 	leaf := s.firstLeaf(r)
 	err := s.callFirst(ctx, r, pinned, leaf)
+	for round := 0; err != nil && busyFirst(err) && waitRound(ctx, round); round++ {
+		err = s.callFirst(ctx, r, pinned, leaf)
+	}
 	if r.Permit != nil && err != nil {
 		s.screen.EndPermit(*r.Permit, !notRun(err))
 	}
 	return err
 }
 
+// busyFirst reports whether the leaf of a trial or a staged content may take it
+// a little later.
+func busyFirst(err error) bool {
+	k := kind.Of(err)
+	return notRun(err) && k.Answer().TierMayRetry && k != kind.SnapshotNotHeld
+}
+
 // firstLeaf returns the leaf for a trial, in the shard where a target died, or
 // for a staged content, which is the same one at every entry.
 func (s *Searcher) firstLeaf(r *Request) string {
@@ -68,12 +81,12 @@
 }
 
 // requestTrial asks, beside the query, for the right to call another leaf after
-// one has died.
-func (run *searchRun) requestTrial(call *leafCall) {
+// one has died, or the same one after it was refused for its content.
+func (run *searchRun) requestTrial(call *leafCall, sameLeaf bool) {
 	b := call.batch
 	go func() {
 		permit, err := run.searcher.screen.RequestPermit(run.ctx, run.request.Fingerprint)
-		run.emit(searchEvent{batch: b, grant: &trialGrant{call: call, permit: permit, err: err}})
+		run.emit(searchEvent{batch: b, grant: &trialGrant{call: call, sameLeaf: sameLeaf, permit: permit, err: err}})
 	}()
 }
 
@@ -83,6 +96,9 @@
 		run.endPermit(g.permit, false)
 		return
 	}
+	if g.sameLeaf && g.err == nil && run.callAgain(g) {
+		return
+	}
 	leaf := g.call.choice.Leaf
 	run.collector.Fail(leaf, kind.ConnectionLost)
 	g.call.ended = true
@@ -100,6 +116,19 @@
 	run.try(action.Leaf, g.call.part, g.permit)
 }
 
+// callAgain calls the leaf of a refused call once more. A second refusal is not
+// followed by a third call.
+func (run *searchRun) callAgain(g *trialGrant) bool {
+	g.call.tried = nil
+	g.call.permit = g.permit
+	g.call.calledAgain = true
+	host, found := run.nextHolder(g.call)
+	if found {
+		run.send(host, []string{g.call.choice.Leaf})
+	}
+	return found
+}
+
 func (run *searchRun) endPermit(permit *quarantine.Permit, sent bool) {
 	if permit != nil {
 		run.searcher.screen.EndPermit(*permit, sent)
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -320,7 +320,7 @@
 		RequestID: c.RequestID,
 		Leaf:      c.Leaf,
 		Kind:      k.String(),
-		Run:       string(k.Answer().Run),
+		Run:       string(kind.RunOf(err)),
 		Message:   fmt.Sprint(err),
 	}
 }
--- a/internal/kind/kind.go
+++ b/internal/kind/kind.go
@@ -90,7 +90,7 @@
 	BadAnswer:        {"bad_answer", http.StatusBadGateway, RunUnknown, false, true},
 	Canceled:         {"canceled", statusClientClosedRequest, RunUnknown, false, false},
 	Quarantined:      {"quarantined", http.StatusUnprocessableEntity, RunUnknown, false, false},
-	CoverageTooLow:   {"coverage_too_low", http.StatusServiceUnavailable, RunYes, true, false},
+	CoverageTooLow:   {"coverage_too_low", http.StatusServiceUnavailable, RunUnknown, true, false},
 	TicketRequired:   {"ticket_required", http.StatusPreconditionRequired, RunNo, false, false},
 	TicketUnknown:    {"ticket_unknown", http.StatusConflict, RunUnknown, false, false},
 	OutcomeUnknown:   {"outcome_unknown", http.StatusBadGateway, RunUnknown, false, true},
