Say once how an incarnation is hashed and how headers are called

The holder and the permit controller each hashed incarnations, and two hosts judge the same leaf only while both agree; the holder now passes the hash. The operators' tool repeated the names of the callers' headers, and replica wrote slices.Contains again.

--- a/internal/ctl/demo.go
+++ b/internal/ctl/demo.go
@@ -11,6 +11,7 @@
 
 	"github.com/redwingshelf/redwingshelf/internal/demo"
 	"github.com/redwingshelf/redwingshelf/internal/document"
+	"github.com/redwingshelf/redwingshelf/internal/entry"
 	"github.com/redwingshelf/redwingshelf/internal/standin"
 )
 
@@ -181,7 +182,7 @@
 	if err != nil {
 		return nil, err
 	}
-	request.Header.Set(headerTicket, r.Ticket)
+	request.Header.Set(entry.HeaderTicket, r.Ticket)
 	status, body, err := do(request)
 	if err != nil {
 		return nil, err
--- a/internal/ctl/query_http.go
+++ b/internal/ctl/query_http.go
@@ -9,19 +9,13 @@
 	"net/http"
 	"net/url"
 	"strconv"
+
+	"github.com/redwingshelf/redwingshelf/internal/entry"
 )
 
 // maxAnswerBytes bounds the answer to a query.
 const maxAnswerBytes = 64 << 20
 
-// Headers of the callers' HTTP interface.
-const (
-	headerRequestID = "X-Request-Id"
-	headerTimeout   = "X-Request-Timeout-Ms"
-	headerClass     = "X-Request-Class"
-	headerTicket    = "Idempotency-Key"
-)
-
 // sendQuery sends one request, which is never sent again.
 func sendQuery(ctx context.Context, options *queryOptions, body []byte) (*queryAnswer, error) {
 	request, err := newQueryRequest(ctx, options, body)
@@ -33,7 +27,7 @@
 		if err != nil {
 			return nil, err
 		}
-		request.Header.Set(headerTicket, ticket)
+		request.Header.Set(entry.HeaderTicket, ticket)
 	}
 	status, answer, err := do(request)
 	if err != nil {
@@ -58,9 +52,9 @@
 	}
 	request.ContentLength = int64(len(body))
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set(headerTimeout, strconv.FormatInt(options.timeout.Milliseconds(), 10))
-	setIfPresent(request.Header, headerClass, options.class)
-	setIfPresent(request.Header, headerRequestID, options.requestID)
+	request.Header.Set(entry.HeaderTimeout, strconv.FormatInt(options.timeout.Milliseconds(), 10))
+	setIfPresent(request.Header, entry.HeaderClass, options.class)
+	setIfPresent(request.Header, entry.HeaderRequestID, options.requestID)
 	return request, nil
 }
 
--- a/internal/holder/leaf.go
+++ b/internal/holder/leaf.go
@@ -352,12 +352,13 @@
 		return
 	}
 	l.judged = current
-	l.holder.permits.Judge(l.name, current.incarnation, current.warm)
+	l.holder.permits.Judge(l.name, hashOf(current.incarnation), current.warm)
 }
 
 // incarnationKey is the form in which the tracker knows an incarnation.
 func incarnationKey(hash uint64) string { return strconv.FormatUint(hash, 16) }
 
+// hashOf returns the hash by which hosts tell each other of an incarnation.
 func hashOf(incarnation string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(incarnation))
--- a/internal/holder/types.go
+++ b/internal/holder/types.go
@@ -36,8 +36,9 @@
 	Begin(leaf string) (Permit, bool)
 	// End records the end of a call.
 	End(leaf string)
-	// Judge tells whether this node finds an incarnation of a leaf warm.
-	Judge(leaf, incarnation string, warm bool)
+	// Judge tells whether this node finds a leaf warm. The incarnation is a hash
+	// as in Permit.PeerWarm.
+	Judge(leaf string, incarnation uint64, warm bool)
 }
 
 // Screen keeps requests that crash targets from crashing more of them.
--- a/internal/permit/controller.go
+++ b/internal/permit/controller.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
 	"sync/atomic"
 	"time"
 
@@ -187,9 +186,9 @@
 }
 
 // Judge implements holder.Permits.
-func (c *Controller) Judge(leaf, incarnation string, warm bool) {
+func (c *Controller) Judge(leaf string, incarnation uint64, warm bool) {
 	id := c.id(leaf)
-	c.locked.Do(func(s *share.State) { s.MarkLeaf(id, hashOf(incarnation), warm) })
+	c.locked.Do(func(s *share.State) { s.MarkLeaf(id, incarnation, warm) })
 }
 
 func (c *Controller) permit(s *share.State, id string, a share.Allowance) holder.Permit {
@@ -204,9 +203,3 @@
 	}
 	return permit
 }
-
-func hashOf(incarnation string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(incarnation))
-	return h.Sum64()
-}
--- a/internal/replica/candidate.go
+++ b/internal/replica/candidate.go
@@ -1,5 +1,7 @@
 package replica
 
+import "slices"
+
 // Condition is what the entry host knows of a leaf's cold start.
 type Condition uint8
 
@@ -54,19 +56,10 @@
 		x.Leaving++
 	case c.Snapshot == SnapshotMissing:
 		x.SnapshotMissing++
-	case contains(tried, c.Instance):
+	case slices.Contains(tried, c.Instance):
 		x.Tried++
 	default:
 		return false
 	}
 	return true
 }
-
-func contains(tried []string, instance string) bool {
-	for _, t := range tried {
-		if t == instance {
-			return true
-		}
-	}
-	return false
-}
