Give back permits of trials that are not used

And a permit that was given back, since its leaf had shed the call or its share had moved, was granted again under the same number, which the holder refused for good.

--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -268,11 +268,17 @@
 
 // wait polls a condition until it holds.
 func (c *cluster) wait(what string, condition func() bool) {
+	c.t.Helper()
+	c.waitSaying(what, new(string), condition)
+}
+
+// waitSaying polls a condition that leaves in last what it saw.
+func (c *cluster) waitSaying(what string, last *string, condition func() bool) {
 	c.t.Helper()
 	end := time.Now().Add(waitLimit)
 	for !condition() {
 		if time.Now().After(end) {
-			require.FailNow(c.t, "waited in vain", what)
+			require.FailNow(c.t, "waited in vain", "%s, last seen: %s", what, *last)
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/internal/e2e/partition_test.go
+++ b/internal/e2e/partition_test.go
@@ -47,8 +47,10 @@
 		if p.frozen.Load() {
 			continue
 		}
-		c.wait("whole answers by "+p.settings.Name, func() bool {
+		last := ""
+		c.waitSaying("whole answers by "+p.settings.Name, &last, func() bool {
 			e := p.exchange(searchAll(0))
+			last = e.summary()
 			return e.ok() && e.answer.Coverage.Covered == e.answer.Coverage.Total
 		})
 	}
--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -23,8 +23,6 @@
 type searchEvent struct {
 	batch  *batch
 	result *wire.LeafResult
-	// grant answers a request for a trial.
-	grant *trialGrant
 	// err is set if the batch ended without all of its results.
 	err error
 }
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -61,6 +61,7 @@
 		answerBy: now + time.Until(r.Deadline) - answerMargin,
 		bias:     newHostBias(),
 		events:   make(chan searchEvent, len(r.Target.Shards)),
+		grants:   make(chan *trialGrant),
 	}
 	state.mu.Lock()
 	cost := state.cost(now, s.router, r.Index, run.bias)
@@ -74,6 +75,7 @@
 		s.refresh(state, refresh.Leaf)
 	}
 	if plan.Snapshot.IsZero() {
+		run.endPermit(r.Permit, false)
 		return nil, kind.Errorf(kind.Unavailable, "no snapshot of service %q is known to be held", r.Service)
 	}
 	if r.Stage || r.Permit != nil {
--- a/internal/entry/search_run.go
+++ b/internal/entry/search_run.go
@@ -46,15 +46,17 @@
 // searchRun is one query in progress. It is used by one goroutine; the batches
 // only send it events.
 type searchRun struct {
-	searcher   *Searcher
-	ctx        context.Context
-	request    *Request
-	state      *serviceState
-	query      *snapshot.Query
-	answerBy   time.Duration
-	bias       hostBias
-	collector  *coverage.Collector
-	events     chan searchEvent
+	searcher  *Searcher
+	ctx       context.Context
+	request   *Request
+	state     *serviceState
+	query     *snapshot.Query
+	answerBy  time.Duration
+	bias      hostBias
+	collector *coverage.Collector
+	events    chan searchEvent
+	// grants has no buffer, so that a permit is either taken or given back.
+	grants     chan *trialGrant
 	generation int
 	sent       int
 	calls      map[string]*leafCall
@@ -140,6 +142,8 @@
 		select {
 		case e := <-run.events:
 			run.handle(e)
+		case g := <-run.grants:
+			run.handleGrant(g)
 		case <-timer.C:
 			run.hedgeDue()
 			run.retryDue()
@@ -175,16 +179,13 @@
 		run.handleEnd(e)
 		return
 	}
-	if e.grant != nil {
-		run.handleGrant(e.grant)
-		return
-	}
 	r := e.result
 	if r.RequestID != run.request.ID || !e.batch.open[r.Leaf] {
 		return
 	}
 	delete(e.batch.open, r.Leaf)
 	run.learn(e.batch, r)
+	run.searcher.screen.Merge(r.Known)
 	if e.batch.generation == run.generation {
 		run.handleResult(r)
 	}
@@ -274,6 +275,7 @@
 			continue
 		}
 		other.ended = true
+		run.endPermit(other.permit, true)
 		run.collector.Fail(other.choice.Leaf, kind.Canceled)
 		run.cancelCall(other)
 	}
--- a/internal/entry/search_trial.go
+++ b/internal/entry/search_trial.go
@@ -125,16 +125,19 @@
 // requestTrial asks, beside the query, for the right to call another leaf after
 // one has died, or the same one after it was refused for its content.
 func (run *searchRun) requestTrial(call *leafCall, sameLeaf bool) {
-	b := call.batch
 	go func() {
 		permit, err := run.searcher.screen.RequestPermit(run.ctx, run.request.Fingerprint)
-		run.emit(searchEvent{batch: b, grant: &trialGrant{call: call, sameLeaf: sameLeaf, permit: permit, err: err}})
+		select {
+		case run.grants <- &trialGrant{call: call, sameLeaf: sameLeaf, permit: permit, err: err}:
+		case <-run.ctx.Done():
+			run.endPermit(permit, false)
+		}
 	}()
 }
 
 // handleGrant calls another leaf under the permit.
 func (run *searchRun) handleGrant(g *trialGrant) {
-	if g.call.ended {
+	if g.call.ended || g.call != run.calls[g.call.choice.Leaf] {
 		run.endPermit(g.permit, false)
 		return
 	}
--- a/internal/entry/search_trial_test.go
+++ b/internal/entry/search_trial_test.go
@@ -28,6 +28,14 @@
 	called  []string
 	permits []*quarantine.Permit
 	verdict quarantine.Verdict
+	// grantAfter is how long the deciding host takes to give a permit.
+	grantAfter time.Duration
+	// granted and returned count the permits that were given, and those given back
+	// with nothing sent.
+	granted  int
+	returned int
+	// nothingHeld is set while no leaf says which snapshot it holds.
+	nothingHeld bool
 }
 
 func (f *firstFleet) Index() *document.Index { return f.index }
@@ -56,6 +64,9 @@
 
 func (f *firstFleet) Held(_ context.Context, _ Host, m *wire.Held) (*wire.HeldResult, error) {
 	result := new(wire.HeldResult)
+	if f.nothingHeld {
+		return result, nil
+	}
 	for _, leaf := range m.Leaves {
 		result.Leaves = append(result.Leaves, wire.LeafHeld{
 			Leaf: leaf, Incarnation: "1", Snapshots: []wire.HeldSnapshot{wholeRange},
@@ -85,10 +96,22 @@
 }
 
 func (f *firstFleet) RequestPermit(_ context.Context, fingerprint quarantine.Fingerprint) (*quarantine.Permit, error) {
+	time.Sleep(f.grantAfter)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.granted++
 	return &quarantine.Permit{Fingerprint: fingerprint, Shard: "s0"}, nil
 }
 
-func (f *firstFleet) EndPermit(quarantine.Permit, bool) {}
+func (f *firstFleet) Merge([]quarantine.Record) {}
+
+func (f *firstFleet) EndPermit(_ quarantine.Permit, sent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !sent {
+		f.returned++
+	}
+}
 
 // stagedRequest returns a fleet of one shard with three replicas, a staged request,
 // and the leaves in the order of their rank for its content.
@@ -208,3 +231,35 @@
 		assert.Equal(t, []string{ranked[0], ranked[0]}, fleet.called)
 	})
 }
+
+// TestUnusedPermitIsGivenBack ends a query while a permit is on its way, or before it can
+// be used. The deciding host gives no other permit until then.
+func TestUnusedPermitIsGivenBack(t *testing.T) {
+	t.Run("query ends", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			fleet, searcher, r, ranked := stagedRequest(t)
+			warmUp(t, searcher, r)
+			for _, name := range ranked {
+				fleet.refused[name] = kind.Quarantined
+			}
+			fleet.grantAfter = 2 * time.Second
+			ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+			defer cancel()
+			_, err := searcher.Serve(ctx, r)
+			require.Error(t, err)
+			time.Sleep(fleet.grantAfter)
+			assert.Equal(t, 1, fleet.granted)
+			assert.Equal(t, 1, fleet.returned)
+		})
+	})
+	t.Run("no snapshot", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			fleet, searcher, r, _ := stagedRequest(t)
+			fleet.nothingHeld = true
+			r.Permit = &quarantine.Permit{Shard: "s0"}
+			_, err := searcher.Serve(t.Context(), r)
+			assert.Equal(t, kind.Unavailable, kind.Of(err))
+			assert.Equal(t, 1, fleet.returned)
+		})
+	})
+}
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -116,6 +116,8 @@
 	Completed(f quarantine.Fingerprint)
 	// Known returns what is known of a content, at most one record.
 	Known(f quarantine.Fingerprint) []quarantine.Record
+	// Merge takes over what a holder knows of a content.
+	Merge(records []quarantine.Record)
 	// RequestPermit asks for the right to run a suspect content on trial. It
 	// returns nil for a content that is no longer suspect.
 	RequestPermit(ctx context.Context, f quarantine.Fingerprint) (*quarantine.Permit, error)
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -166,7 +167,7 @@
 	for state, n := range counts {
 		c.options.Scope.Tagged(map[string]string{"state": state}).Gauge("members").Update(float64(n))
 	}
-	if counts["alive"] != previous["alive"] {
+	if !maps.Equal(counts, previous) {
 		c.options.Logger.Info("members changed", zap.Any("members", counts))
 	}
 	c.options.OnChange(members)
--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -47,6 +47,9 @@
 	if err != nil {
 		result := l.fail(c, id, epoch, begin, deadline, err)
 		l.reportDeath(c, &result)
+		if result.Run == string(kind.RunNo) {
+			l.holder.returnPermit(c)
+		}
 		l.holder.countCall(result.Kind)
 		return result
 	}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -183,11 +183,12 @@
 func (h *Holder) Call(ctx context.Context, c *Call) wire.LeafResult {
 	l, id, permit, err := h.admit(ctx, c)
 	if err != nil {
-		return refused(c, err)
+		return h.refusedBeforeSend(c, err)
 	}
 	done := make(chan wire.LeafResult, 1)
 	if !h.tasks.Go(func() { done <- l.exchange(c, id, permit) }) {
 		l.settle(id)
+		h.returnPermit(c)
 		return refused(c, errStopping)
 	}
 	select {
@@ -199,6 +200,24 @@
 	}
 }
 
+// refusedBeforeSend returns the result of a call that was not sent. A refusal for the
+// content carries what is known of it, in case its entry has not heard.
+func (h *Holder) refusedBeforeSend(c *Call, err error) wire.LeafResult {
+	result := refused(c, err)
+	if kind.Of(err) == kind.Quarantined {
+		result.Known = h.screen.Known(c.Fingerprint)
+	}
+	return result
+}
+
+// returnPermit gives back the permit of a trial that its leaf has not run, so that the
+// content can be tried again.
+func (h *Holder) returnPermit(c *Call) {
+	if c.Permit != nil {
+		h.screen.ReturnPermit(*c.Permit)
+	}
+}
+
 // admit waits for a slot and checks again once it has one.
 func (h *Holder) admit(ctx context.Context, c *Call) (*leaf, uint64, Permit, error) {
 	permit, err := h.check(c)
@@ -216,15 +235,15 @@
 	if id, err = l.confirm(ctx, c, permit, id); err != nil {
 		return nil, 0, Permit{}, err
 	}
-	if err := h.checkSend(c); err != nil {
-		l.release(id)
-		return nil, 0, Permit{}, err
-	}
 	permit, begun := h.permits.Begin(c.Leaf)
 	if !begun {
 		l.release(id)
 		return nil, 0, Permit{}, kind.Errorf(kind.NotHolder, "this host may use no slot of leaf %q now", c.Leaf)
 	}
+	if err := h.checkSend(c); err != nil {
+		l.settle(id)
+		return nil, 0, Permit{}, err
+	}
 	return l, id, permit, nil
 }
 
--- a/internal/holder/leaf_test.go
+++ b/internal/holder/leaf_test.go
@@ -9,10 +9,12 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
 
 	"github.com/redwingshelf/redwingshelf/internal/document"
 	"github.com/redwingshelf/redwingshelf/internal/kind"
 	"github.com/redwingshelf/redwingshelf/internal/quarantine"
+	"github.com/redwingshelf/redwingshelf/internal/screen"
 	"github.com/redwingshelf/redwingshelf/internal/target"
 )
 
@@ -24,10 +26,15 @@
 	// connected reports an open connection.
 	connected bool
 	calls     int
+	// err is the failure of each call, if set.
+	err error
 }
 
 func (l *lostLeaf) Call(context.Context, *target.Request) (*target.Answer, error) {
 	l.calls++
+	if l.err != nil {
+		return nil, l.err
+	}
 	if l.answers {
 		return &target.Answer{Report: target.Report{Incarnation: l.incarnation, State: target.StateWarm}}, nil
 	}
@@ -81,6 +88,10 @@
 func (openScreen) MaySend(quarantine.Fingerprint, *quarantine.Permit) error {
 	return nil
 }
+func (openScreen) ReturnPermit(quarantine.Permit) {}
+func (openScreen) Known(quarantine.Fingerprint) []quarantine.Record {
+	return nil
+}
 func (openScreen) Died(string, quarantine.Fingerprint)             {}
 func (openScreen) EndTrial(quarantine.Permit, quarantine.TrialEnd) {}
 
@@ -181,6 +192,67 @@
 	})
 }
 
+// busyShare can't be used for the first calls.
+type busyShare struct {
+	wholeShare
+	refusals int
+}
+
+func (b *busyShare) Begin(leaf string) (Permit, bool) {
+	b.refusals--
+	return b.Permit(leaf), b.refusals < 0
+}
+
+// TestTrialThatDidNotRunCanBeRepeated sends a suspect content twice under the same permit,
+// since the first trial did not run.
+func TestTrialThatDidNotRunCanBeRepeated(t *testing.T) {
+	shed := &target.CallError{Err: kind.Errorf(kind.LeafShed, "shed")}
+	for name, test := range map[string]struct {
+		share busyShare
+		leaf  lostLeaf
+		want  kind.Kind
+		again string
+	}{
+		"shed by the leaf": {busyShare{}, lostLeaf{err: shed}, kind.LeafShed, ""},
+		"share moved":      {busyShare{refusals: 1}, lostLeaf{answers: true}, kind.NotHolder, ""},
+		"lost":             {busyShare{}, lostLeaf{}, kind.ConnectionLost, kind.Quarantined.String()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				caller := test.leaf
+				caller.incarnation, caller.connected = "first", true
+				test.share.wholeShare = wholeShare{2}
+				peers := screen.New(screen.Options{
+					Host: "n0", Peers: noPeers{}, Blind: func() bool { return false }, Logger: zap.NewNop(), Scope: tally.NoopScope,
+				})
+				h := New(&test.share, peers, oneTarget{&caller}, tally.NoopScope)
+				defer h.Close()
+				h.SetIndex(document.NewIndex(oneLeaf()))
+				h.Held(t.Context(), []string{"t1-0"})
+				content := quarantine.Fingerprint{1}
+				peers.Died("s0", content)
+				permit, err := peers.RequestPermit(t.Context(), content)
+				require.NoError(t, err)
+				call := &Call{Leaf: "t1-0", Fingerprint: content, Permit: permit, Deadline: time.Now().Add(time.Second)}
+				require.Equal(t, test.want.String(), h.Call(t.Context(), call).Kind)
+				caller.err, caller.answers = nil, true
+				time.Sleep(2 * time.Second)
+				call.Deadline = time.Now().Add(time.Second)
+				result := h.Call(t.Context(), call)
+				require.Equal(t, test.again, result.Kind)
+				if test.again != "" {
+					require.Len(t, result.Known, 1, "the entry may not know why")
+				}
+			})
+		})
+	}
+}
+
+// noPeers is a fleet of one host.
+type noPeers struct{ screen.Peers }
+
+func (noPeers) Hosts() []string { return nil }
+
 func oneLeaf() *document.Document {
 	doc := &document.Document{
 		Revision:    1,
--- a/internal/holder/types.go
+++ b/internal/holder/types.go
@@ -52,6 +52,11 @@
 	// MaySend returns an error with a kind for a content that must not be sent.
 	// It is called directly before the send, and uses up the permit if there is one.
 	MaySend(f quarantine.Fingerprint, permit *quarantine.Permit) error
+	// ReturnPermit gives a permit back that MaySend has used up, where the target has
+	// not run the content.
+	ReturnPermit(permit quarantine.Permit)
+	// Known returns what is known of a content, at most one record.
+	Known(f quarantine.Fingerprint) []quarantine.Record
 	// Died records that a target of a shard died while it ran a content. It
 	// returns once the other hosts know, or after a bound.
 	Died(shard string, f quarantine.Fingerprint)
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -22,6 +22,8 @@
 	Epoch       uint32
 	Number      uint8
 	Shard       string
+	// Host is the host that gave the permit and waits for its end.
+	Host string
 }
 
 // Grant is the answer to a request for a permit.
@@ -143,6 +145,15 @@
 	return true
 }
 
+// ReturnPermit makes a permit good for a send again, at the holder that has used it up
+// for one that its target has not run.
+func (t *Tracker) ReturnPermit(now time.Duration, permit Permit) {
+	r := t.live(now, permit.Fingerprint)
+	if r != nil && r.Epoch == permit.Epoch && r.usedPermits == permit.Number {
+		r.usedPermits--
+	}
+}
+
 // MaySend decides at the holder of a target, directly before the send, whether
 // a request without a permit may be sent.
 func (t *Tracker) MaySend(now time.Duration, fingerprint Fingerprint) bool {
--- a/internal/screen/controller.go
+++ b/internal/screen/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -17,10 +18,15 @@
 	spreadInterval = 10 * time.Millisecond
 	settleInterval = 2 * time.Millisecond
 	permitInterval = 20 * time.Millisecond
-	permitTimeout  = 500 * time.Millisecond
-	maxRecords     = 4096
-	recordsTimeout = time.Second
-	recordsAsked   = 3
+	// permitTimeout bounds the wait for the deciding host's answer, which takes up to
+	// quarantine.SettleLimit where a host does not acknowledge.
+	permitTimeout = 500 * time.Millisecond
+	// latePermitTimeout is how long a permit that nobody waits for any more is still
+	// taken, to give it back.
+	latePermitTimeout = 5 * time.Second
+	maxRecords        = 4096
+	recordsTimeout    = time.Second
+	recordsAsked      = 3
 )
 
 // Options configure a Controller.
@@ -189,6 +195,13 @@
 	return nil
 }
 
+// ReturnPermit gives a used permit back, where the target has not run the content.
+func (c *Controller) ReturnPermit(permit quarantine.Permit) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.ReturnPermit(c.now(), permit)
+}
+
 // Died records that a target died while it ran a content, and waits until the
 // other hosts know.
 func (c *Controller) Died(shard string, f quarantine.Fingerprint) {
@@ -245,6 +258,7 @@
 	grant, permit, record := c.tracker.RequestPermit(c.now(), *known)
 	c.mu.Unlock()
 	if grant == quarantine.GrantPermit {
+		permit.Host = c.options.Host
 		c.tell([]quarantine.Record{record})
 	}
 	return &Answer{Grant: grant, Permit: permit, Record: record}
@@ -292,9 +306,7 @@
 	if decider == c.options.Host {
 		return c.Decide(&known[0]), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
-	defer cancel()
-	answer, err := c.options.Peers.RequestPermit(ctx, decider, &known[0])
+	answer, err := c.askPeer(ctx, decider, &known[0])
 	if err != nil {
 		return nil, err
 	}
@@ -302,15 +314,46 @@
 	return answer, nil
 }
 
+// askPeer asks the deciding host. If the answer comes after the wait for it has ended,
+// its permit is given back, since the host gives no other one until then.
+func (c *Controller) askPeer(ctx context.Context, decider string, known *quarantine.Record) (*Answer, error) {
+	type reply struct {
+		answer *Answer
+		err    error
+	}
+	replies := make(chan reply)
+	waitCtx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	go func() {
+		askCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), latePermitTimeout)
+		defer cancel()
+		answer, err := c.options.Peers.RequestPermit(askCtx, decider, known)
+		select {
+		case replies <- reply{answer, err}:
+		case <-waitCtx.Done():
+			if err == nil && answer.Grant == quarantine.GrantPermit {
+				c.options.Scope.Counter("late_permits").Inc(1)
+				c.EndPermit(answer.Permit, false)
+			}
+		}
+	}()
+	select {
+	case r := <-replies:
+		return r.answer, r.err
+	case <-waitCtx.Done():
+		return nil, fmt.Errorf("host %q has not answered: %w", decider, waitCtx.Err())
+	}
+}
+
 func (c *Controller) decider(f quarantine.Fingerprint) string {
 	return quarantine.Decider(f, append(c.options.Peers.Hosts(), c.options.Host))
 }
 
-// EndPermit tells the deciding host that a trial has ended.
+// EndPermit tells the host that gave a permit that the trial has ended.
 func (c *Controller) EndPermit(permit quarantine.Permit, sent bool) {
 	end := &End{Permit: permit, Sent: sent}
-	if decider := c.decider(permit.Fingerprint); decider != c.options.Host {
-		c.options.Peers.SendEnd(decider, end)
+	if permit.Host != c.options.Host {
+		c.options.Peers.SendEnd(permit.Host, end)
 		return
 	}
 	c.Ended(end)
--- a/internal/screen/types.go
+++ b/internal/screen/types.go
@@ -18,7 +18,7 @@
 	SendBatch(host string, b *Batch)
 	// SendAck acknowledges a batch; it may be lost.
 	SendAck(host string, a *Ack)
-	// SendEnd tells the deciding host that a trial has ended; it may be lost.
+	// SendEnd tells the host that gave a permit that a trial has ended; it may be lost.
 	SendEnd(host string, e *End)
 	// RequestPermit asks the deciding host for a permit.
 	RequestPermit(ctx context.Context, host string, known *quarantine.Record) (*Answer, error)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -55,6 +55,8 @@
 	Busy uint8
 	// Died reports that the leaf's process ended while the call was in flight.
 	Died bool
+	// Known is what the holder knows of a content that it refuses, at most one record.
+	Known []quarantine.Record
 }
 
 // Held asks a holder which snapshots its leaves hold.
