--- a/internal/entry/search_trial_test.go
+++ b/internal/entry/search_trial_test.go
@@ -248,6 +248,7 @@
 			_, err := searcher.Serve(ctx, r)
 			require.Error(t, err)
 			time.Sleep(fleet.grantAfter)
+			synctest.Wait()
 			assert.Equal(t, 1, fleet.granted)
 			assert.Equal(t, 1, fleet.returned)
 		})
