Read the store again soon while a node knows nothing

A node that knows nothing now gives a read 400 ms, each fourth one more, and passes over a source for 250 ms; only roots turn to the store so often. Test red first.

--- a/internal/statesync/watcher.go
+++ b/internal/statesync/watcher.go
@@ -34,6 +34,14 @@
 	behindFor = 400 * time.Millisecond
 	// retryPause is the pause before the next try when all sources have failed.
 	retryPause = 400 * time.Millisecond
+	// startTimeout bounds a read of the store by a node that knows nothing, but for
+	// each read in patientEvery, which finds a store that is slow. startPause is how
+	// long such a node passes over a source that failed: other nodes may start at the
+	// same time, and until one has read the store none can serve. Only roots turn to
+	// the store so often.
+	startTimeout = 400 * time.Millisecond
+	patientEvery = 4
+	startPause   = 250 * time.Millisecond
 	// ageSlack bounds the age of what a node knows that follows the store, and
 	// agePerNode is added for each further node on the way to a peer. Each may wait
 	// for changes once. Up to three nodes stay under outageAfter, so that a node whose
@@ -88,6 +96,8 @@
 	current   string
 	watching  bool
 	storeLost bool
+	// startTries counts the reads of the store while nothing is known.
+	startTries int
 }
 
 // NewWatcher returns a watcher that follows the store; Run starts it.
@@ -121,7 +131,11 @@
 	for ctx.Err() == nil {
 		source, good := w.choose()
 		if !good {
-			if periodic.Sleep(ctx, w.jitter(retryPause)) != nil {
+			pause := retryPause
+			if w.knowsNothing() {
+				pause = startPause
+			}
+			if periodic.Sleep(ctx, w.jitter(pause)) != nil {
 				return nil
 			}
 		}
@@ -173,7 +187,13 @@
 // followStore reads a snapshot of the store, or waits for changes once.
 func (w *Watcher) followStore(ctx context.Context) (changed bool, err error) {
 	c := w.options.Catalog
-	if !w.watching && c.View().AsOf == 0 {
+	if w.knowsNothing() {
+		w.startTries++
+		if w.startTries%patientEvery != 0 {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, startTimeout)
+			defer cancel()
+		}
 		return false, w.readStore(ctx)
 	}
 	wait := watchWait
@@ -198,6 +218,9 @@
 	return len(u.Changes) > 0, nil
 }
 
+// knowsNothing reports whether neither the store nor a peer has told of any entry.
+func (w *Watcher) knowsNothing() bool { return !w.watching && w.options.Catalog.View().AsOf == 0 }
+
 func (w *Watcher) readStore(ctx context.Context) error {
 	s, err := w.options.Store.Snapshot(ctx)
 	if err != nil {
@@ -290,11 +313,7 @@
 func (w *Watcher) failed(source string, err error) {
 	w.options.Scope.Counter("source_failures").Inc(1)
 	now := w.now()
-	pause := badFor
-	if errors.Is(err, errBehind) {
-		pause = behindFor
-	}
-	w.bad[source] = now + w.jitter(pause)
+	w.bad[source] = now + w.jitter(w.passOver(source, err))
 	if source == storeSource {
 		if w.storeLost {
 			return
@@ -306,6 +325,20 @@
 		zap.Duration("confirmed_ago", age))
 }
 
+// passOver returns how long a source that failed is passed over.
+func (w *Watcher) passOver(source string, err error) time.Duration {
+	w.mu.Lock()
+	root := w.root
+	w.mu.Unlock()
+	switch {
+	case w.knowsNothing() && (root || source != storeSource):
+		return startPause
+	case errors.Is(err, errBehind):
+		return behindFor
+	}
+	return badFor
+}
+
 func (w *Watcher) expire(ctx context.Context) {
 	periodic.Run(ctx, expireEvery, func() {
 		w.report(w.options.Catalog.Expire(w.now()), w.options.Catalog.View().AsOf)
--- a/internal/statesync/watcher_test.go
+++ b/internal/statesync/watcher_test.go
@@ -387,6 +387,31 @@
 	})
 }
 
+// TestFleetStartsSoonAfterTheStoreReturns starts all nodes while the store is silent. What
+// nodes know is lost, so that no request can be served until one of them has read it.
+func TestFleetStartsSoonAfterTheStoreReturns(t *testing.T) {
+	for _, away := range []time.Duration{100 * time.Millisecond, time.Second, 1700 * time.Millisecond, 4 * time.Second} {
+		t.Run(away.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				store := newHistory()
+				store.put("a", true)
+				store.setFault(func(string) fault { return silent })
+				f := startFleet(ctx, store, 3, 8)
+				time.Sleep(away)
+				// Each node turns to the store by itself at first and once all peers have
+				// failed, and three roots more often.
+				assert.LessOrEqual(t, store.count(), 24*(1+int(away/(2500*time.Millisecond)))+3*int(away/(500*time.Millisecond)))
+				store.setFault(func(string) fault { return none })
+				time.Sleep(1500 * time.Millisecond)
+				assert.Equal(t, 24, f.have("a"))
+				cancel()
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
+
 func TestUpstreamIsATree(t *testing.T) {
 	var nodes []statesync.Node
 	for i := range 60 {
