Let a new table wait for leaves in a cold start

A table now waits for the leaves of services that only it names, as long as the services that it gives up still serve, and at most until 0.7 of the time in which it must be in force has passed since the node last knew that there was nothing newer. It never goes back.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -18,8 +18,10 @@
 type View struct {
 	// AsOf is the revision up to which the view is complete.
 	AsOf uint64
-	// Table is nil until the first one is known.
+	// Table is the one in force, nil until the first one is known. Newest is the one
+	// with the highest version; it may wait for its leaves.
 	Table    *Table
+	Newest   *Table
 	Leaves   map[string][]*Leaf
 	TakenOut map[string]bool
 }
@@ -32,6 +34,8 @@
 	Change Change
 	// Ignored says why the change had no effect; empty if it had.
 	Ignored string
+	// Waits is set for a table that waits for its leaves.
+	Waits bool
 }
 
 // Catalog collects changes. It is safe for concurrent use.
@@ -50,6 +54,7 @@
 	news     chan struct{}
 	lapsed   map[string]time.Duration
 	holdTill time.Duration
+	tables   tableState
 }
 
 // New returns an empty catalog.
@@ -57,8 +62,9 @@
 	c := &Catalog{
 		entries: map[string]Change{}, removed: map[string]uint64{}, lapsed: map[string]time.Duration{},
 		changedAt: map[string]uint64{}, news: make(chan struct{}),
+		tables: tableState{warmAt: map[string]time.Duration{}},
 	}
-	c.publish()
+	c.publish(0, nil)
 	return c
 }
 
@@ -87,8 +93,7 @@
 		events = c.apply(now, u.Changes[i], events)
 	}
 	c.asOf = max(c.asOf, u.AsOf)
-	c.publish()
-	return events, true
+	return c.publish(now, events), true
 }
 
 // Replace takes a snapshot. Entries that it lacks are removed unless they changed
@@ -108,12 +113,11 @@
 		}
 	}
 	c.asOf = max(c.asOf, s.AsOf)
-	c.publish()
-	return events
+	return c.publish(now, events)
 }
 
-// Expire removes the leaves whose time after a lapse has passed. It reports whether
-// there were any.
+// Expire removes the leaves whose time after a lapse has passed, and puts a table in
+// force that need not wait any more.
 func (c *Catalog) Expire(now time.Duration) []Event {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -125,10 +129,10 @@
 		events = append(events, Event{Change: Change{Key: key, Revision: c.entries[key].Revision}})
 		c.remove(key, c.entries[key].Revision)
 	}
-	if events != nil {
-		c.publish()
+	if events == nil && c.tables.waiting == nil {
+		return nil
 	}
-	return events
+	return c.publish(now, events)
 }
 
 // Merge takes changes of another node's catalog that is complete up to asOf.
@@ -140,8 +144,7 @@
 		events = c.apply(now, changes[i], events)
 	}
 	c.asOf = max(c.asOf, asOf)
-	c.publish()
-	return events
+	return c.publish(now, events)
 }
 
 // News returns the sequence number of the last change that had an effect, and a
@@ -191,21 +194,28 @@
 	}
 	if change.Table != nil {
 		if exists && known.Table != nil && change.Table.Version < known.Table.Version {
-			return append(events, Event{change, "lower version of the table"})
+			return append(events, Event{Change: change, Ignored: "lower version of the table"})
 		}
 		if err := change.Table.Prepare(); err != nil {
-			return append(events, Event{change, err.Error()})
+			return append(events, Event{Change: change, Ignored: err.Error()})
 		}
 	}
 	if change.Leaf != nil && exists && known.Leaf != nil && change.Leaf.older(known.Leaf) {
 		known.Revision = change.Revision
 		c.entries[change.Key] = known
-		return append(events, Event{change, "older entry of the leaf"})
+		return append(events, Event{Change: change, Ignored: "older entry of the leaf"})
 	}
 	c.entries[change.Key] = change
 	delete(c.lapsed, change.Key)
 	delete(c.removed, change.Key)
 	c.note(change.Key)
+	if change.Table != nil {
+		// Told once it is in force.
+		return events
+	}
+	if change.Leaf != nil {
+		c.tables.warmAt[change.Leaf.ID] = now + change.Leaf.WarmupLeft
+	}
 	return append(events, Event{Change: change})
 }
 
@@ -220,7 +230,7 @@
 		return events
 	}
 	if known.Table != nil {
-		return append(events, Event{change, "the table in force is kept"})
+		return append(events, Event{Change: change, Ignored: "the table in force is kept"})
 	}
 	if known.Leaf != nil && !known.Leaf.Draining && now < c.holdTill {
 		if !c.isLapsed(change.Key) {
@@ -228,13 +238,16 @@
 			known.Revision = change.Revision
 			c.entries[change.Key] = known
 		}
-		return append(events, Event{change, "held after an outage"})
+		return append(events, Event{Change: change, Ignored: "held after an outage"})
 	}
 	c.remove(change.Key, change.Revision)
 	return append(events, Event{Change: change})
 }
 
 func (c *Catalog) remove(key string, revision uint64) {
+	if l := c.entries[key].Leaf; l != nil {
+		delete(c.tables.warmAt, l.ID)
+	}
 	delete(c.entries, key)
 	delete(c.lapsed, key)
 	c.remember(key, revision)
@@ -255,19 +268,23 @@
 	c.removed[key] = revision
 }
 
-func (c *Catalog) publish() {
+// publish makes the view anew and adds what that changes to the events.
+func (c *Catalog) publish(now time.Duration, events []Event) []Event {
 	close(c.news)
 	c.news = make(chan struct{})
+	var newest Change
 	v := &View{AsOf: c.asOf, Leaves: map[string][]*Leaf{}, TakenOut: map[string]bool{}}
 	for _, e := range c.entries {
 		switch {
 		case e.Table != nil:
-			v.Table = e.Table
+			newest = e
 		case e.Leaf != nil:
 			v.Leaves[e.Leaf.Service] = append(v.Leaves[e.Leaf.Service], e.Leaf)
 		case e.TakenOut != "":
 			v.TakenOut[e.TakenOut] = true
 		}
 	}
+	events = c.chooseTable(now, v, newest, events)
 	c.view.Store(v)
+	return events
 }
--- /dev/null
+++ b/internal/catalog/inforce_test.go
@@ -0,0 +1,94 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/redwingshelf/redwingshelf/internal/catalog"
+)
+
+// gathers is a table with one route over some services.
+func gathers(version int64, revision uint64, shards ...string) catalog.Change {
+	return catalog.Change{Key: "table", Revision: revision, Table: &catalog.Table{
+		Version: version, Routes: []*catalog.Route{{Name: "r", Host: "h", Prefix: "/", Shards: shards}},
+	}}
+}
+
+// shardLeaf is a leaf that is in a cold start for a time.
+func shardLeaf(id, service string, revision uint64, coldFor time.Duration) catalog.Change {
+	c := leaf(id, revision, 1, 0, false)
+	c.Leaf.Service, c.Leaf.WarmupLeft = service, coldFor
+	return c
+}
+
+// TestTableWaitsForItsLeaves cuts an index anew, into services whose leaves are in a cold
+// start for three seconds.
+func TestTableWaitsForItsLeaves(t *testing.T) {
+	const until = 2100 * time.Millisecond
+	for name, c := range map[string]struct {
+		// later are changes one second after the new table.
+		later []catalog.Change
+		// cold is how long the new leaves are cold when the table arrives.
+		cold time.Duration
+		// inForce is when the new table must be in force.
+		inForce time.Duration
+	}{
+		"warm already":                {nil, 0, 0},
+		"warm soon":                   {nil, time.Second, time.Second},
+		"cold for longer":             {nil, time.Minute, until},
+		"older leaves are leaving":    {[]catalog.Change{removal("a", 9)}, time.Minute, time.Second},
+		"newer table beside it":       {[]catalog.Change{gathers(9, 9, "new")}, time.Minute, until},
+		"newer table without the new": {[]catalog.Change{gathers(9, 9, "old")}, time.Minute, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := catalog.New()
+			k.Apply(0, update(0, shardLeaf("a", "old", 1, 0), gathers(5, 2, "old")))
+			assert.EqualValues(t, 5, k.View().Table.Version, "nothing was in force before")
+			k.LetTablesWait(until)
+			k.Apply(0, update(2, shardLeaf("b", "new", 3, c.cold), gathers(7, 4, "new")))
+			assert.EqualValues(t, 7, k.View().Newest.Version)
+			for now := time.Duration(0); now <= 3*time.Second; now += 50 * time.Millisecond {
+				if now == time.Second {
+					k.LetTablesWait(now + until)
+					k.Apply(now, update(4, c.later...))
+				}
+				k.Expire(now)
+				if now < c.inForce {
+					assert.EqualValues(t, 5, k.View().Table.Version, "at %v", now)
+				} else {
+					assert.Same(t, k.View().Newest, k.View().Table, "at %v", now)
+				}
+			}
+		})
+	}
+}
+
+// TestTableThatMayNotWait arrives late, or first.
+func TestTableThatMayNotWait(t *testing.T) {
+	k := catalog.New()
+	k.LetTablesWait(time.Minute)
+	k.Apply(0, update(0, shardLeaf("b", "new", 1, time.Minute), gathers(5, 2, "new")))
+	assert.EqualValues(t, 5, k.View().Table.Version)
+	k.LetTablesWait(0)
+	events, _ := k.Apply(time.Second, update(2, shardLeaf("c", "newer", 3, time.Minute), gathers(7, 4, "newer")))
+	assert.EqualValues(t, 7, k.View().Table.Version)
+	assert.Len(t, events, 2)
+}
+
+// TestWaitingTableIsTold checks what the log says of a table that waits.
+func TestWaitingTableIsTold(t *testing.T) {
+	k := catalog.New()
+	k.Apply(0, update(0, shardLeaf("a", "old", 1, 0), gathers(5, 2, "old")))
+	k.LetTablesWait(time.Second)
+	events, _ := k.Apply(0, update(2, shardLeaf("b", "new", 3, time.Minute), gathers(7, 4, "new")))
+	assert.Len(t, events, 2)
+	assert.True(t, events[1].Waits)
+	assert.Empty(t, k.Expire(500*time.Millisecond), "told once")
+	events = k.Expire(time.Second)
+	if assert.Len(t, events, 1) {
+		assert.False(t, events[0].Waits)
+		assert.EqualValues(t, 7, events[0].Change.Table.Version)
+	}
+}
--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -49,11 +49,3 @@
 	}
 	return nil
 }
-
-// ServiceOf returns the named service, or an empty one if the table lacks it.
-func (t *Table) ServiceOf(name string) *Service {
-	if s := t.Services[name]; s != nil {
-		return s
-	}
-	return &Service{Name: name}
-}
--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -143,14 +143,7 @@
 	defer b.mu.Unlock()
 	old := *b.byName.Load()
 	next := make(map[string]*backend, len(view.Leaves))
-	gathered := map[string]bool{}
-	if view.Table != nil {
-		for _, r := range view.Table.Routes {
-			for _, shard := range r.Shards {
-				gathered[shard] = true
-			}
-		}
-	}
+	gathered := view.Gathered()
 	for name, entries := range view.Leaves {
 		service := old[name]
 		if service == nil {
@@ -186,10 +179,7 @@
 	fleet := s.owner.fleet.Load()
 	s.sharers, s.part = fleet.sharers(gathered)
 	ahead := !gathered || fleet.gathers()
-	service := new(catalog.Service)
-	if view.Table != nil {
-		service = view.Table.ServiceOf(s.name)
-	}
+	service := view.Service(s.name)
 	s.shareBudget()
 	var usable []*catalog.Leaf
 	for _, e := range entries {
--- a/internal/relaynode/node.go
+++ b/internal/relaynode/node.go
@@ -105,7 +105,7 @@
 		d, n.catalog, n.backends, n, log, n.scope.SubScope("relay"))
 	n.watcher = statesync.NewWatcher(statesync.Options{
 		Process: n.process, Store: store, Peers: n, Catalog: n.catalog, OnChange: n.catalogChanged,
-		Logger: n.logger, Scope: n.scope, Random: rand.Float64,
+		TableWait: time.Duration(tableWaitPart * float64(s.ApplyWithin)), Logger: n.logger, Scope: n.scope, Random: rand.Float64,
 	})
 	hello := wire.Hello{Host: n.process, Incarnation: 1}
 	traffic := peer.NewTraffic(n.scope.SubScope("peer"))
--- a/internal/relaynode/settings.go
+++ b/internal/relaynode/settings.go
@@ -23,6 +23,8 @@
 	Seeds []string
 	// StopWithin is the time from the request to stop until the process is killed.
 	StopWithin time.Duration
+	// ApplyWithin is the time in which an accepted table must be in force.
+	ApplyWithin time.Duration
 	// RepeatShare, RepeatSlack and RepeatWindow bound repeats at a service, over all
 	// nodes.
 	RepeatShare  float64
@@ -51,6 +53,9 @@
 	// stopPart is the part of StopWithin after which requests still in progress
 	// are cut off.
 	stopPart = 0.94
+	// tableWaitPart is the part of ApplyWithin for which a table may wait for leaves
+	// in a cold start; the rest is for requests that are under way.
+	tableWaitPart = 0.7
 	// mbpsPerCore is the link speed that one core makes use of when it gathers.
 	mbpsPerCore = 100
 	// settleTime is how long a new process learns of its peers before it takes its
--- a/internal/statesync/watcher.go
+++ b/internal/statesync/watcher.go
@@ -53,7 +53,7 @@
 	// outageAfter is the time without any word of the store, from peers either, after
 	// which entries may have lapsed.
 	outageAfter = 3300 * time.Millisecond
-	expireEvery = 250 * time.Millisecond
+	expireEvery = 100 * time.Millisecond
 )
 
 // errBehind is the cause for passing over a peer that is not up to date.
@@ -69,6 +69,8 @@
 	Store   Store
 	Peers   Peers
 	Catalog *catalog.Catalog
+	// TableWait is how long after it was accepted a table may wait for its leaves.
+	TableWait time.Duration
 	// OnChange is called after the catalog has changed.
 	OnChange func()
 	Logger   *zap.Logger
@@ -209,6 +211,7 @@
 	if err != nil {
 		return false, err
 	}
+	w.letTablesWait()
 	w.storeAnswered()
 	events, complete := c.Apply(w.now(), u)
 	if !complete {
@@ -226,6 +229,7 @@
 	if err != nil {
 		return err
 	}
+	w.letTablesWait()
 	w.storeAnswered()
 	w.watching = true
 	w.report(w.options.Catalog.Replace(w.now(), s), s.AsOf)
@@ -244,6 +248,16 @@
 	w.confirm(0)
 }
 
+// letTablesWait is called before an answer is confirmed and applied. A table that it
+// brings was accepted after the last confirmation.
+func (w *Watcher) letTablesWait() {
+	var until time.Duration
+	if age, known := w.Age(); known {
+		until = w.now() - age + w.options.TableWait
+	}
+	w.options.Catalog.LetTablesWait(until)
+}
+
 // endOutage is called before the changes of a source that is up to date are applied.
 // If the source is the store, or the store failed this node, and there was no word of
 // the store for long, leaves whose entries lapsed meanwhile are held for a moment.
@@ -279,6 +293,7 @@
 	if r.Age <= limit && !slices.Contains(r.Path, w.options.Process) {
 		w.endOutage(false)
 	}
+	w.letTablesWait()
 	now := w.now()
 	var events []catalog.Event
 	if r.Full {
@@ -361,6 +376,9 @@
 	switch {
 	case e.Ignored != "":
 		logger.Info("change ignored", append(fields, zap.String("reason", e.Ignored))...)
+	case e.Waits:
+		logger.Info("table waits for leaves in a cold start",
+			append(fields, zap.Int64("version", e.Change.Table.Version))...)
 	case e.Change.Table != nil:
 		logger.Info("table in force", append(fields, zap.Int64("version", e.Change.Table.Version),
 			zap.Int("routes", len(e.Change.Table.Routes)))...)
