--- a/internal/leafpick/group.go
+++ b/internal/leafpick/group.go
@@ -94,6 +94,20 @@
 // Size returns the number of leaves.
 func (g *Group) Size() int { return len(g.leaves) }
 
+// Callable reports whether Begin would find a leaf for a call that may be repeated.
+func (g *Group) Callable(now time.Duration, fleet *Fleet) bool {
+	for _, l := range g.leaves {
+		switch {
+		case l.cold(now) && !g.mayUseCold(now, l, fleet):
+		case !l.ejected || !l.misdirected:
+			return true
+		case now >= l.ejectedUntil && len(l.calls) == 0:
+			return true
+		}
+	}
+	return false
+}
+
 // Ask describes the call that a leaf is wanted for.
 type Ask struct {
 	// Mean is the expected latency of the call.
--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -286,9 +286,9 @@
 	}
 }
 
-// leaves returns the number of usable leaves.
-func (s *backend) leaves() int {
+// callable reports whether a leaf may be called now.
+func (s *backend) callable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.group.Size()
+	return s.group.Callable(s.owner.now(), s.sharers)
 }
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -97,8 +97,8 @@
 	if left := time.Until(q.request.deadline); left < endMargin {
 		return kind.Errorf(kind.DeadlinePassed, "only %v are left of the caller's time", left)
 	}
-	if q.request.gathered() && !q.covered(q.withLeaves()) {
-		return kind.Errorf(kind.Unavailable, "only %d of %d shards have a leaf", q.withLeaves(), len(q.calls))
+	if n := q.callable(); q.request.gathered() && !q.covered(n) {
+		return kind.Errorf(kind.Unavailable, "only %d of %d shards have a leaf that can be used now", n, len(q.calls))
 	}
 	defer q.cancelRest(ctx)
 	for _, c := range q.calls {
@@ -150,11 +150,11 @@
 	return false, nil
 }
 
-// withLeaves returns the number of services that have a leaf to use.
-func (q *query) withLeaves() int {
+// callable returns the number of services that have a leaf which may be called now.
+func (q *query) callable() int {
 	n := 0
 	for _, c := range q.calls {
-		if b := q.handler.backends.get(c.service); b != nil && b.leaves() > 0 {
+		if b := q.handler.backends.get(c.service); b != nil && b.callable() {
 			n++
 		}
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -382,6 +382,25 @@
 	assert.Less(t, got.took, time.Second)
 }
 
+// TestGatherThatCannotBeCoveredIsNotSent has a shard whose only leaf is in a cold start and
+// takes no more requests now. The other shards must not work in vain.
+func TestGatherThatCannotBeCoveredIsNotSent(t *testing.T) {
+	s := newSite(t, gather(3, 0.9), map[string][]relaytest.Script{
+		"s0": {relaytest.Answer(200, "sig0", rec("a"))},
+		"s1": {relaytest.Answer(200, "sig1", rec("b"))},
+		"s2": {relaytest.Answer(200, "sig2", rec("c"))},
+	})
+	s.catalog.Merge(0, []catalog.Change{{Key: "s1-0", Revision: 2, Leaf: &catalog.Leaf{
+		ID: "s1-0", Service: "s1", Address: s.leaves["s1"][0].Address, Zone: "here", Slots: 4, Sequence: 1, WarmupLeft: time.Minute,
+	}}}, 2)
+	s.backends.Update(s.catalog.View())
+	got := s.do(http.MethodGet, "/all/x", "")
+	assert.Equal(t, 503, got.status)
+	assert.NotEmpty(t, got.header.Get("Retry-After"))
+	assert.Empty(t, s.leaves["s0"][0].Requests())
+	assert.Empty(t, s.leaves["s2"][0].Requests())
+}
+
 func TestDistinctParts(t *testing.T) {
 	s := newSite(t, gather(2, 1), map[string][]relaytest.Script{
 		"s0": {relaytest.Answer(200, "sig0", rec("a")), relaytest.Answer(200, "sig0b", rec("a"))},
