Refuse a content that has crashed three leaves, but for few trials

After three losses in a row every node refuses it with 503; one node, by a hash of the content, lets a request through after 20 s, and after twice the time each further one. An answer is told to all nodes.

--- a/internal/quarantine/losses.go
+++ b/internal/quarantine/losses.go
@@ -10,9 +10,12 @@
 	// toldFrom is the number of losses in a row that other hosts are told of: a
 	// target and that of a repeat.
 	toldFrom = 2
-	// repeatsEnd is the number of losses in a row after which a content is not
-	// repeated any more.
+	// repeatsEnd is the number of losses in a row after which a content is not sent
+	// any more, but for trials.
 	repeatsEnd = 3
+	// firstTrial is the time from the last loss to a trial; each further trial waits
+	// twice as long. A target that crashed is back within seconds.
+	firstTrial = 20 * time.Second
 )
 
 // Loss is what hosts tell each other of a content that lost its targets in a row.
@@ -20,7 +23,8 @@
 	//lint:ignore U1000 read by msgpack
 	_msgpack    struct{} `msgpack:",as_array"`
 	Fingerprint Fingerprint
-	Count       uint8
+	// Count is zero once a target has answered the content.
+	Count uint8
 	// Remaining is the time after which the losses are forgotten.
 	Remaining time.Duration
 }
@@ -35,8 +39,7 @@
 
 // Losses counts, for each content, the requests in a row that ended with the
 // connection to their target. A content that has lost targets one after the other
-// may crash them, and is sent no more often than callers ask for it. It is safe for
-// concurrent use.
+// may crash them; it is refused, but for few trials. It is safe for concurrent use.
 type Losses struct {
 	options LossOptions
 	// latest is when the last record ends, read without mu for each answer.
@@ -53,6 +56,18 @@
 	last  time.Duration
 	told  time.Duration
 	until time.Duration
+	// trialAt is when the content may be sent on trial, and trialPause the time to
+	// the trial after that.
+	trialAt    time.Duration
+	trialPause time.Duration
+}
+
+// setCount sets the number of losses in a row. The trials begin anew with the last one.
+func (r *lossRecord) setCount(now time.Duration, count uint8) {
+	if count >= repeatsEnd && r.count < repeatsEnd {
+		r.trialAt, r.trialPause = now+firstTrial, 2*firstTrial
+	}
+	r.count = min(count, repeatsEnd)
 }
 
 // NewLosses returns Losses without records.
@@ -77,7 +92,7 @@
 		return Loss{}, false
 	}
 	tell := r.count < repeatsEnd || now-r.told >= l.options.Period/2
-	r.count = min(r.count+1, repeatsEnd)
+	r.setCount(now, r.count+1)
 	r.last = now
 	l.extend(r, now+l.options.Period)
 	if r.count < toldFrom || !tell {
@@ -87,26 +102,35 @@
 	return Loss{Fingerprint: f, Count: r.count, Remaining: l.options.Period}, true
 }
 
-// Completed forgets a content that a target has answered.
-func (l *Losses) Completed(f Fingerprint) {
+// Completed forgets a content that a target has answered. It returns what other hosts
+// have to know, and false if that is nothing.
+func (l *Losses) Completed(now time.Duration, f Fingerprint) (Loss, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	r := l.live(now, f)
 	delete(l.records, f)
+	if r == nil || r.count < toldFrom {
+		return Loss{}, false
+	}
+	return Loss{Fingerprint: f}, true
 }
 
 // Merge takes over what another host says, and reports whether it is news.
 func (l *Losses) Merge(now time.Duration, other Loss) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if other.Count == 0 || other.Remaining <= 0 {
-		return false
-	}
 	r := l.live(now, other.Fingerprint)
-	if r == nil {
+	switch {
+	case other.Count == 0:
+		delete(l.records, other.Fingerprint)
+		return r != nil
+	case other.Remaining <= 0:
+		return false
+	case r == nil:
 		r = l.insert(now, other.Fingerprint)
 	}
 	news := other.Count > r.count
-	r.count = min(max(r.count, other.Count), repeatsEnd)
+	r.setCount(now, max(r.count, other.Count))
 	l.extend(r, now+min(other.Remaining, l.options.Period))
 	return news
 }
@@ -119,6 +143,22 @@
 	return r == nil || r.count < repeatsEnd
 }
 
+// Admit reports whether a content may be sent for a caller. A host that decides on the
+// content lets single requests through as trials once the losses are some time past.
+func (l *Losses) Admit(now time.Duration, f Fingerprint, decides bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.live(now, f)
+	if r == nil || r.count < repeatsEnd {
+		return true
+	}
+	if !decides || now < r.trialAt {
+		return false
+	}
+	r.trialAt, r.trialPause = now+r.trialPause, 2*r.trialPause
+	return true
+}
+
 // extend needs mu.
 func (l *Losses) extend(r *lossRecord, until time.Duration) {
 	r.until = max(r.until, until)
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -103,6 +103,9 @@
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, received time.Time) (*query, error) {
 	request, err := h.read(w, r, received)
+	if err == nil {
+		err = h.admit(request)
+	}
 	if err != nil {
 		h.refuse(w, request, nil, err)
 		return nil, err
@@ -291,6 +294,10 @@
 	}
 	status := k.Answer().Status
 	ran := kind.RunOf(err) != kind.RunNo
+	if k == kind.Quarantined && !ran {
+		// The content may be in order, so that a caller may come back.
+		status = http.StatusServiceUnavailable
+	}
 	if ran && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
 		// These statuses promise that the request has not run.
 		status = http.StatusBadGateway
--- a/internal/relay/losses.go
+++ b/internal/relay/losses.go
@@ -5,12 +5,13 @@
 
 	"go.uber.org/zap"
 
+	"github.com/redwingshelf/redwingshelf/internal/kind"
 	"github.com/redwingshelf/redwingshelf/internal/leafpick"
 	"github.com/redwingshelf/redwingshelf/internal/quarantine"
 )
 
 const (
-	// lossPeriod is how long a content that lost leaves in a row is not repeated; it
+	// lossPeriod is how long a content that lost leaves in a row is refused; it
 	// starts again with each further loss. A leaf that crashed is back within seconds,
 	// and callers that resend for longer renew it.
 	lossPeriod = 5 * time.Minute
@@ -21,10 +22,30 @@
 
 // TakeLoss takes what another node has found of a content.
 func (h *Handler) TakeLoss(l quarantine.Loss) {
-	if h.losses.Merge(h.routes.now(), l) {
-		h.log.Note("content that lost leaves at a peer", "", zap.Binary("content", l.Fingerprint[:]),
-			zap.Uint8("losses", l.Count), zap.Duration("remembered_for", l.Remaining))
+	if !h.losses.Merge(h.routes.now(), l) {
+		return
 	}
+	if l.Count == 0 {
+		h.log.Note("content that lost leaves was answered at a peer", "", zap.Binary("content", l.Fingerprint[:]))
+		return
+	}
+	h.log.Note("content that lost leaves at a peer", "", zap.Binary("content", l.Fingerprint[:]),
+		zap.Uint8("losses", l.Count), zap.Duration("remembered_for", l.Remaining))
+}
+
+// admit refuses a content that crashes each leaf that runs it. The node that decides on
+// the content lets a trial through now and then.
+func (h *Handler) admit(r *request) error {
+	now := h.routes.now()
+	if h.losses.Empty(now) {
+		return nil
+	}
+	f := r.content()
+	all := &h.backends.fleet.Load().All
+	if h.losses.Admit(now, f, quarantine.Decider(f, all.Names) == all.Self) {
+		return nil
+	}
+	return kind.WithRun(kind.Errorf(kind.Quarantined, "leaves were lost one after the other while they ran this content"), kind.RunNo)
 }
 
 // content returns the fingerprint of the request's content.
@@ -50,7 +71,11 @@
 			zap.Uint8("losses", loss.Count), zap.String("leaf", a.pick.ID))
 		h.options.TellLoss(loss)
 	case a.ran && a.answer != nil && !h.losses.Empty(h.routes.now()):
-		h.losses.Completed(q.request.content())
+		if loss, tell := h.losses.Completed(h.routes.now(), q.request.content()); tell {
+			h.log.Note("content that lost leaves was answered", q.request.id, zap.Binary("content", loss.Fingerprint[:]),
+				zap.String("leaf", a.pick.ID))
+			h.options.TellLoss(loss)
+		}
 	}
 }
 
