--- a/internal/nodecmd/relay.go
+++ b/internal/nodecmd/relay.go
@@ -12,10 +12,8 @@
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/redwingshelf/redwingshelf/internal/relaynode"
-	"github.com/redwingshelf/redwingshelf/internal/reqlog"
 	"github.com/redwingshelf/redwingshelf/platform"
 )
 
@@ -56,12 +54,8 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
-	sink := reqlog.NewSink(stdout)
+	logger, sink := newLogger(stdout)
 	defer sink.Close()
-	encoder := zap.NewProductionEncoderConfig()
-	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
-	encoder.EncodeDuration = zapcore.StringDurationEncoder
-	logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), sink, zap.InfoLevel))
 	s, err := platform.LoadSettings(file)
 	if err != nil {
 		logger.Error("settings can't be used", zap.String("file", file), zap.Error(err))
--- a/internal/nodecmd/root.go
+++ b/internal/nodecmd/root.go
@@ -34,6 +34,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newRunCommand(), newRelayCommand(stdout))
+	root.AddCommand(newRunCommand(stdout), newRelayCommand(stdout))
 	return root
 }
--- a/internal/nodecmd/run.go
+++ b/internal/nodecmd/run.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,7 +14,7 @@
 	"github.com/redwingshelf/redwingshelf/internal/settings"
 )
 
-func newRunCommand() *cobra.Command {
+func newRunCommand(stdout io.Writer) *cobra.Command {
 	var file string
 	command := &cobra.Command{
 		Use:   "run --settings FILE",
@@ -25,7 +25,7 @@
 request that the node has received.`,
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			return run(c.Context(), file)
+			return run(c.Context(), file, stdout)
 		},
 	}
 	command.Flags().StringVar(&file, "settings", "", "file with the settings of this host")
@@ -34,7 +34,7 @@
 	return command
 }
 
-func run(ctx context.Context, file string) error {
+func run(ctx context.Context, file string, stdout io.Writer) error {
 	if ctx == nil {
 		ctx = context.Background()
 	}
@@ -42,11 +42,8 @@
 	if err != nil {
 		return err
 	}
-	logger, err := zap.NewProduction()
-	if err != nil {
-		return fmt.Errorf("make the logger: %w", err)
-	}
-	defer func() { _ = logger.Sync() }()
+	logger, sink := newLogger(stdout)
+	defer sink.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	signals := make(chan os.Signal, 2)
@@ -54,6 +51,7 @@
 	defer signal.Stop(signals)
 	n, err := node.New(loaded, logger)
 	if err != nil {
+		logger.Error("node can't start", zap.Error(err))
 		return err
 	}
 	hurry := make(chan os.Signal, 1)
