--- a/internal/leafconn/pool.go
+++ b/internal/leafconn/pool.go
@@ -165,7 +165,16 @@
 	return c, nil
 }
 
-// freeRoom ends a reservation; the first waiter gets it.
+// newestWaiter takes out the waiter that came last. Under overload the oldest are late in
+// any case. The pool's lock is held.
+func (p *Pool) newestWaiter() chan *conn {
+	last := len(p.waiters) - 1
+	w := p.waiters[last]
+	p.waiters = p.waiters[:last]
+	return w
+}
+
+// freeRoom ends a reservation; the newest waiter gets it.
 func (p *Pool) freeRoom() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -174,9 +183,7 @@
 
 func (p *Pool) freeRoomLocked() {
 	if len(p.waiters) > 0 && p.open <= p.limit {
-		w := p.waiters[0]
-		p.waiters = p.waiters[1:]
-		w <- nil
+		p.newestWaiter() <- nil
 		return
 	}
 	p.open--
@@ -196,9 +203,7 @@
 	c.idleSince = time.Now()
 	c.usableUntil = c.idleSince.Add(c.keep)
 	if len(p.waiters) > 0 {
-		w := p.waiters[0]
-		p.waiters = p.waiters[1:]
-		w <- c
+		p.newestWaiter() <- c
 		return
 	}
 	p.idle = append(p.idle, c)
--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -21,9 +21,11 @@
 	// connUse is the part of a leaf's connections that the nodes share out; the
 	// rest is room for nodes that were replaced while their connections still count.
 	connUse = 0.8
-	// maxConnsPerLeaf bounds a node's connections to one leaf; a leaf runs few
-	// requests at once.
+	// maxConnsPerLeaf bounds a node's connections to one leaf.
 	maxConnsPerLeaf = 6
+	// connsPerSlot bounds the connections of all nodes by a leaf's slots. A leaf
+	// queues few requests and rejects others; nodes queue them with the newest first.
+	connsPerSlot = 6
 	// repeatUse is the part of the shared budget of repeats that is used; the rest
 	// is room for requests that are counted in another window.
 	repeatUse = 0.9
@@ -188,19 +190,20 @@
 		}
 	}
 	s.group.Set(s.owner.now(), usable, service)
-	s.updatePools(usable, s.connLimit(service), ahead)
+	s.updatePools(usable, service.MaxConns, ahead)
 	s.group.SetConnections(func(id string) leafpick.Connections { return s.pools[id].pool })
 }
 
-// connLimit returns this node's share of the connections of a leaf.
-func (s *backend) connLimit(service *catalog.Service) int {
-	share := int(connUse * float64(service.MaxConns) * s.part)
-	return min(max(share, 1), maxConnsPerLeaf)
+// connShare returns a node's share of the connections of a leaf.
+func connShare(maxConns, slots int, part float64) int {
+	total := min(connUse*float64(maxConns), float64(connsPerSlot*slots))
+	return min(max(int(total*part), 1), maxConnsPerLeaf)
 }
 
-func (s *backend) updatePools(usable []*catalog.Leaf, limit int, ahead bool) {
+func (s *backend) updatePools(usable []*catalog.Leaf, maxConns int, ahead bool) {
 	kept := make(map[string]*leafPool, len(usable))
 	for _, e := range usable {
+		limit := connShare(maxConns, e.Slots, s.part)
 		p := s.pools[e.ID]
 		if p == nil || !p.entry.SameProcess(e) {
 			p = &leafPool{entry: e, pool: leafconn.NewPool(e.Address, limit)}
