--- a/internal/entry/search_run.go
+++ b/internal/entry/search_run.go
@@ -185,7 +185,9 @@
 	}
 	delete(e.batch.open, r.Leaf)
 	run.learn(e.batch, r)
-	run.searcher.screen.Merge(r.Known)
+	if len(r.Known) > 0 {
+		run.searcher.screen.Merge(r.Known)
+	}
 	if e.batch.generation == run.generation {
 		run.handleResult(r)
 	}
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -97,8 +97,10 @@
 	if left := time.Until(q.request.deadline); left < endMargin {
 		return kind.Errorf(kind.DeadlinePassed, "only %v are left of the caller's time", left)
 	}
-	if n := q.callable(); q.request.gathered() && !q.covered(n) {
-		return kind.Errorf(kind.Unavailable, "only %d of %d shards have a leaf that can be used now", n, len(q.calls))
+	if q.request.gathered() {
+		if n := q.callable(); !q.covered(n) {
+			return kind.Errorf(kind.Unavailable, "only %d of %d shards have a leaf that can be used now", n, len(q.calls))
+		}
 	}
 	defer q.cancelRest(ctx)
 	for _, c := range q.calls {
