Log why a holder takes a leaf as cold

A holder bounds what a leaf gets by its condition and said nothing of it, so that the known red tests could not be traced from logs. Test red first (no line).

--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -13,6 +13,7 @@
 	"github.com/redwingshelf/redwingshelf/internal/document"
 	"github.com/redwingshelf/redwingshelf/internal/kind"
 	"github.com/redwingshelf/redwingshelf/internal/periodic"
+	"github.com/redwingshelf/redwingshelf/internal/reqlog"
 	"github.com/redwingshelf/redwingshelf/internal/wire"
 )
 
@@ -29,6 +30,7 @@
 	screen  Screen
 	targets Targets
 	scope   tally.Scope
+	log     *reqlog.Log
 	start   time.Time
 	seed    maphash.Seed
 	index   atomic.Pointer[document.Index]
@@ -46,12 +48,13 @@
 }
 
 // New returns a holder without leaves; SetIndex gives it some.
-func New(permits Permits, screen Screen, targets Targets, scope tally.Scope) *Holder {
+func New(permits Permits, screen Screen, targets Targets, log *reqlog.Log, scope tally.Scope) *Holder {
 	h := &Holder{
 		permits: permits,
 		screen:  screen,
 		targets: targets,
 		scope:   scope.SubScope("holder"),
+		log:     log,
 		start:   time.Now(),
 		seed:    maphash.MakeSeed(),
 	}
--- a/internal/holder/leaf.go
+++ b/internal/holder/leaf.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/redwingshelf/redwingshelf/internal/admission"
 	"github.com/redwingshelf/redwingshelf/internal/document"
 	"github.com/redwingshelf/redwingshelf/internal/kind"
@@ -40,12 +42,20 @@
 	probing bool
 	expiry  *time.Timer
 	// judged is the last judgement passed to Permits.
-	judged   judgement
+	judged judgement
+	// noted is the condition of the leaf that was last logged.
+	noted    condition
 	report   target.Report
 	reported bool
 	closed   bool
 }
 
+// condition is what the tracker takes the leaf for.
+type condition struct {
+	state warmup.State
+	epoch warmup.Epoch
+}
+
 // judgement says whether an incarnation of the leaf is warm, in an epoch of the
 // tracker.
 type judgement struct {
@@ -380,6 +390,7 @@
 // judge needs mu. It passes a changed judgement of the leaf on. A leaf that has not
 // fallen since the last one is not refuted: it may not have been warm here yet.
 func (l *leaf) judge(now time.Duration) {
+	l.noteCondition(now)
 	if !l.reported {
 		return
 	}
@@ -399,6 +410,19 @@
 	}
 }
 
+// noteCondition needs mu. It logs what the leaf is taken for when that changes.
+func (l *leaf) noteCondition(now time.Duration) {
+	current := condition{state: l.tracker.State(now), epoch: l.tracker.Epoch(now)}
+	if current == l.noted {
+		return
+	}
+	l.noted = current
+	l.holder.log.Note("leaf condition changed", "", zap.String("leaf", l.name),
+		zap.Stringer("state", current.state), zap.Stringer("cold_cause", l.tracker.Cause()),
+		zap.Uint64("epoch", uint64(current.epoch)), zap.String("incarnation", l.report.Incarnation),
+		zap.Int("bound", l.tracker.Bound(now)), zap.Duration("service_time", l.scheduler.ServiceTime()))
+}
+
 // incarnationKey is the form in which the tracker knows an incarnation.
 func incarnationKey(hash uint64) string { return strconv.FormatUint(hash, 16) }
 
--- a/internal/holder/leaf_test.go
+++ b/internal/holder/leaf_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -10,10 +11,12 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/redwingshelf/redwingshelf/internal/document"
 	"github.com/redwingshelf/redwingshelf/internal/kind"
 	"github.com/redwingshelf/redwingshelf/internal/quarantine"
+	"github.com/redwingshelf/redwingshelf/internal/reqlog"
 	"github.com/redwingshelf/redwingshelf/internal/screen"
 	"github.com/redwingshelf/redwingshelf/internal/target"
 )
@@ -118,7 +121,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				caller := &lostLeaf{incarnation: "first"}
-				h := New(wholeShare{1}, openScreen{}, oneTarget{caller}, tally.NoopScope)
+				h := New(wholeShare{1}, openScreen{}, oneTarget{caller}, quietLog(), tally.NoopScope)
 				defer h.Close()
 				h.SetIndex(document.NewIndex(oneLeaf()))
 				h.Held(t.Context(), []string{"t1-0"})
@@ -133,13 +136,15 @@
 	}
 }
 
+func quietLog() *reqlog.Log { return reqlog.New(zap.NewNop(), tally.NoopScope, time.Now) }
+
 // TestOnlyAFallRefutesTheWordOfTheFirstHolder uses a leaf that the first holder has
 // warmed, then loses a call.
 func TestOnlyAFallRefutesTheWordOfTheFirstHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		caller := &lostLeaf{incarnation: "first", answers: true, connected: true}
 		permits := &secondShare{wholeShare: wholeShare{2}}
-		h := New(permits, openScreen{}, oneTarget{caller}, tally.NoopScope)
+		h := New(permits, openScreen{}, oneTarget{caller}, quietLog(), tally.NoopScope)
 		defer h.Close()
 		h.SetIndex(document.NewIndex(oneLeaf()))
 		h.Held(t.Context(), []string{"t1-0"})
@@ -156,12 +161,38 @@
 	})
 }
 
+// TestConditionOfALeafIsLogged warms a leaf and loses a call. On-call engineers see why a
+// leaf gets less work from the log alone.
+func TestConditionOfALeafIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, lines := observer.New(zap.InfoLevel)
+		caller := &lostLeaf{incarnation: "first", answers: true, connected: true}
+		log := reqlog.New(zap.New(core), tally.NoopScope, time.Now)
+		h := New(wholeShare{2}, openScreen{}, oneTarget{caller}, log, tally.NoopScope)
+		defer h.Close()
+		h.SetIndex(document.NewIndex(oneLeaf()))
+		for range 60 {
+			require.Empty(t, h.Call(t.Context(), &Call{Leaf: "t1-0", Deadline: time.Now().Add(time.Second)}).Kind)
+		}
+		caller.answers = false
+		call := &Call{Leaf: "t1-0", Deadline: time.Now().Add(time.Second)}
+		require.Equal(t, kind.ConnectionLost.String(), h.Call(t.Context(), call).Kind)
+		var seen []string
+		for _, line := range lines.FilterMessage("leaf condition changed").All() {
+			fields := line.ContextMap()
+			require.Equal(t, "t1-0", fields["leaf"])
+			seen = append(seen, fmt.Sprint(fields["state"], " ", fields["cold_cause"], " ", fields["bound"]))
+		}
+		require.Equal(t, []string{"cold other_process 1", "warming other_process 2", "warm other_process 2", "cold connection_loss 1"}, seen)
+	})
+}
+
 // TestLeafThatRestartedUnseenIsCold uses a leaf as its second holder. It restarts
 // while no connection is open.
 func TestLeafThatRestartedUnseenIsCold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		caller := &lostLeaf{incarnation: "first", answers: true}
-		h := New(&secondShare{wholeShare: wholeShare{2}}, openScreen{}, oneTarget{caller}, tally.NoopScope)
+		h := New(&secondShare{wholeShare: wholeShare{2}}, openScreen{}, oneTarget{caller}, quietLog(), tally.NoopScope)
 		defer h.Close()
 		h.SetIndex(document.NewIndex(oneLeaf()))
 		call := &Call{Leaf: "t1-0", Deadline: time.Now().Add(time.Second)}
@@ -176,7 +207,7 @@
 func TestLeafThatReturnsIsCold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		caller := &lostLeaf{incarnation: "first", answers: true, connected: true}
-		h := New(&secondShare{wholeShare: wholeShare{2}}, openScreen{}, oneTarget{caller}, tally.NoopScope)
+		h := New(&secondShare{wholeShare: wholeShare{2}}, openScreen{}, oneTarget{caller}, quietLog(), tally.NoopScope)
 		defer h.Close()
 		doc := oneLeaf()
 		h.SetIndex(document.NewIndex(doc))
@@ -225,7 +256,7 @@
 				peers := screen.New(screen.Options{
 					Host: "n0", Peers: noPeers{}, Blind: func() bool { return false }, Logger: zap.NewNop(), Scope: tally.NoopScope,
 				})
-				h := New(&test.share, peers, oneTarget{&caller}, tally.NoopScope)
+				h := New(&test.share, peers, oneTarget{&caller}, quietLog(), tally.NoopScope)
 				defer h.Close()
 				h.SetIndex(document.NewIndex(oneLeaf()))
 				h.Held(t.Context(), []string{"t1-0"})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/redwingshelf/redwingshelf/internal/once"
 	"github.com/redwingshelf/redwingshelf/internal/peer"
 	"github.com/redwingshelf/redwingshelf/internal/permit"
+	"github.com/redwingshelf/redwingshelf/internal/reqlog"
 	"github.com/redwingshelf/redwingshelf/internal/routing"
 	"github.com/redwingshelf/redwingshelf/internal/screen"
 	"github.com/redwingshelf/redwingshelf/internal/settings"
@@ -109,7 +110,7 @@
 		return nil, err
 	}
 	n.screen = n.newScreen()
-	n.holder = holder.New(n.permits, n.screen, n.targets, n.scope)
+	n.holder = holder.New(n.permits, n.screen, n.targets, reqlog.New(n.logger, n.scope, time.Now), n.scope)
 	n.self = n.process()
 	n.tickets = entry.NewTickets(n.self, &holders{node: n})
 	n.peers = peer.NewServer(open.peer, hello, traffic, &peerHandler{node: n})
--- a/internal/warmup/tracker.go
+++ b/internal/warmup/tracker.go
@@ -45,9 +45,11 @@
 
 // Tracker holds the state of one leaf as its holder sees it.
 type Tracker struct {
-	cfg         Config
-	state       State
-	epoch       Epoch
+	cfg   Config
+	state State
+	epoch Epoch
+	// cause is why the present epoch began.
+	cause       Cause
 	incarnation string
 	// retired holds earlier incarnations, the last one first.
 	retired [4]string
@@ -90,6 +92,9 @@
 	return t.epoch
 }
 
+// Cause returns why the leaf was last taken as cold.
+func (t *Tracker) Cause() Cause { return t.cause }
+
 // Incarnation returns the incarnation last seen, and "" if none is known.
 func (t *Tracker) Incarnation() string { return t.incarnation }
 
@@ -135,12 +140,12 @@
 	t.heard = now
 	t.timeouts = 0
 	if a.Cold {
-		t.fall(now)
+		t.fall(now, OwnWord)
 		return
 	}
 	t.shedScore = max(t.shedScore-shedDecay, 0)
 	if t.latency.observe(a.Latency, t.state != Cold, t.cfg) {
-		t.fall(now)
+		t.fall(now, LatencyJump)
 		return
 	}
 	t.successes++
@@ -156,8 +161,10 @@
 	switch f.Reason {
 	case SaidLeaving:
 		t.SetLeaving(now, LeafWord, true)
-	case SaidCold, Disconnected:
-		t.fall(now)
+	case SaidCold:
+		t.fall(now, OwnWord)
+	case Disconnected:
+		t.fall(now, ConnectionLoss)
 	case Shed:
 		t.shed(now)
 	case Timeout:
@@ -166,9 +173,11 @@
 }
 
 // Reset records that the leaf may have restarted or that the holder was paused.
-func (t *Tracker) Reset(now time.Duration) {
+func (t *Tracker) Reset(now time.Duration) { t.reset(now, PossibleRestart) }
+
+func (t *Tracker) reset(now time.Duration, cause Cause) {
 	t.heard = now
-	t.fall(now)
+	t.fall(now, cause)
 }
 
 // SetIncarnation records the incarnation that the leaf names on a connection
@@ -193,7 +202,7 @@
 		t.leavingWord = now
 	}
 	if before != 0 && t.leaving == 0 {
-		t.Reset(now)
+		t.reset(now, StayedAfterAll)
 	}
 }
 
--- a/internal/warmup/transition.go
+++ b/internal/warmup/transition.go
@@ -28,7 +28,7 @@
 	}
 	t.incarnation = id
 	t.heard = now
-	t.fall(now)
+	t.fall(now, OtherProcess)
 	t.backoff = 0
 	t.peerFrom = now
 	t.leaving &^= LeafWord
@@ -47,7 +47,7 @@
 // and a leaf's old word that it is leaving ends.
 func (t *Tracker) expire(now time.Duration) {
 	if t.state != Cold && now-t.heard >= t.cfg.SilentAfter {
-		t.Reset(now)
+		t.reset(now, Silence)
 	}
 	if t.leaving&LeafWord != 0 && now-t.leavingWord >= t.cfg.LeavingFor {
 		t.SetLeaving(now, LeafWord, false)
@@ -56,7 +56,8 @@
 
 // fall begins a new epoch in the cold state. A leaf that falls again before it
 // has been stable needs twice as many successes, up to a limit.
-func (t *Tracker) fall(now time.Duration) {
+func (t *Tracker) fall(now time.Duration, cause Cause) {
+	t.cause = cause
 	if t.state != Cold {
 		t.backoff = min(t.backoff+1, maxBackoff)
 	}
@@ -111,13 +112,13 @@
 func (t *Tracker) shed(now time.Duration) {
 	t.shedScore++
 	if t.state != Warm || t.shedScore >= shedLimit {
-		t.fall(now)
+		t.fall(now, Overload)
 	}
 }
 
 func (t *Tracker) timeout(now time.Duration) {
 	t.timeouts++
 	if t.state != Warm || t.timeouts >= t.cfg.TimeoutAfter {
-		t.fall(now)
+		t.fall(now, Timeouts)
 	}
 }
