Keep connections to a leaf at as many nodes as it has room for

Cause: each node kept a connection to each leaf, also where there are more nodes than a leaf takes connections.

The rooms of a service's leaves are dealt out to the nodes in turn. A node keeps connections to its homes; other leaves get one for a call, as hedges, retries and where the homes are paused or lost. Tests red first (12 nodes kept one at a leaf of 5).

--- a/internal/leafconn/pool.go
+++ b/internal/leafconn/pool.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/redwingshelf/redwingshelf/internal/leafpick"
 )
 
 const (
@@ -28,6 +30,7 @@
 	// mu guards the fields below.
 	mu      sync.Mutex
 	limit   int
+	keep    bool
 	open    int
 	idle    []*conn
 	waiters []chan *conn
@@ -35,29 +38,30 @@
 }
 
 // NewPool returns a pool without connections. limit is the greatest number of them.
-func NewPool(address string, limit int) *Pool {
-	return &Pool{address: address, dialer: Dialer(connectTimeout), limit: limit}
+// Those that no exchange uses stay open if keep is set.
+func NewPool(address string, limit int, keep bool) *Pool {
+	return &Pool{address: address, dialer: Dialer(connectTimeout), limit: limit, keep: keep}
 }
 
-// SetLimit changes the greatest number of connections. Idle ones above it are closed.
-func (p *Pool) SetLimit(limit int) {
+// SetLimit changes the greatest number of connections, and whether idle ones stay open.
+// Those above the limit are closed.
+func (p *Pool) SetLimit(limit int, keep bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit = limit
-	for p.open > p.limit && len(p.idle) > 0 {
+	p.limit, p.keep = limit, keep
+	for (p.open > p.limit || !keep) && len(p.idle) > 0 {
 		c := p.idle[0]
 		p.idle = p.idle[1:]
 		c.closeLocked()
 	}
 }
 
-// State reports whether an idle connection is open, and whether all connections
-// are in use and no other may be opened.
-func (p *Pool) State() (idle, full bool) {
+// State implements leafpick.Connections.
+func (p *Pool) State() leafpick.ConnState {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	idle = len(p.idle) > 0
-	return idle, !idle && p.open >= p.limit
+	idle := len(p.idle) > 0
+	return leafpick.ConnState{Idle: idle, Full: !idle && p.open >= p.limit, Kept: p.keep}
 }
 
 // Close ends all idle connections and, after their exchanges, all others.
@@ -78,7 +82,7 @@
 // Warm opens a connection if there is none.
 func (p *Pool) Warm(ctx context.Context) error {
 	p.mu.Lock()
-	if p.closed || p.open > 0 || p.limit < 1 {
+	if p.closed || p.open > 0 || p.limit < 1 || !p.keep {
 		p.mu.Unlock()
 		return nil
 	}
@@ -206,6 +210,10 @@
 		p.newestWaiter() <- c
 		return
 	}
+	if !p.keep {
+		c.closeLocked()
+		return
+	}
 	p.idle = append(p.idle, c)
 }
 
--- a/internal/leafconn/pool_test.go
+++ b/internal/leafconn/pool_test.go
@@ -14,7 +14,7 @@
 // least likely to be of use.
 func TestNewestWaiterGoesFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := NewPool("leaf", 1)
+		p := NewPool("leaf", 1, true)
 		near, far := net.Pipe()
 		defer func() { _, _ = near.Close(), far.Close() }()
 		c := newConn(p, near)
--- a/internal/leafpick/group_test.go
+++ b/internal/leafpick/group_test.go
@@ -198,9 +198,24 @@
 	assert.Zero(t, g.Census(0).Ejected)
 }
 
-type conns struct{ idle, full bool }
+type conns struct{ idle, full, guest bool }
 
-func (c conns) State() (idle, full bool) { return c.idle, c.full }
+func (c conns) State() leafpick.ConnState {
+	return leafpick.ConnState{Idle: c.idle, Full: c.full, Kept: !c.guest}
+}
+
+// TestLeafWithoutKeptConnectionIsUsedLast keeps no connection to one of two leaves. It is
+// for hedges and retries, and for calls whose other leaf is paused.
+func TestLeafWithoutKeptConnectionIsUsedLast(t *testing.T) {
+	g := newGroup(entries("here", "here"))
+	g.SetConnections(func(id string) leafpick.Connections { return conns{idle: id == "l0", guest: id == "l1"} })
+	first := begin(g, 0)
+	assert.Equal(t, "l0", first.ID)
+	second := begin(g, 0)
+	assert.Equal(t, "l0", second.ID)
+	g.End(time.Millisecond, second, leafpick.Answered)
+	assert.Equal(t, "l1", begin(g, time.Second).ID, "the other leaf has an overdue call")
+}
 
 func TestPrefersOpenConnection(t *testing.T) {
 	g := newGroup(entries("here", "here"))
--- a/internal/leafpick/leaf.go
+++ b/internal/leafpick/leaf.go
@@ -26,6 +26,10 @@
 	overdueMargin = 4 * time.Millisecond
 	// connectTime is the expected time to open a connection to a leaf.
 	connectTime = 6 * time.Millisecond
+	// guestCost is the added cost of a leaf to which no connection is kept, in
+	// multiples of the mean latency. Each call there costs the leaf a new connection,
+	// but less than what a paused or failing leaf takes.
+	guestCost = 4
 	// minEject and maxEject bound the time that a leaf is left out after it could
 	// not be reached or let a call time out.
 	minEject = 400 * time.Millisecond
@@ -38,9 +42,17 @@
 
 // Connections tells what connections to a leaf are there.
 type Connections interface {
-	// State reports whether an idle connection is open, and whether all
-	// connections are in use and no other may be opened.
-	State() (idle, full bool)
+	State() ConnState
+}
+
+// ConnState is the state of the connections of this node to a leaf.
+type ConnState struct {
+	// Idle says that an idle connection is open.
+	Idle bool
+	// Full says that all connections are in use and no other may be opened.
+	Full bool
+	// Kept says that a connection is kept after use. Others are opened for one call.
+	Kept bool
 }
 
 // Call is one call in flight.
@@ -112,14 +124,18 @@
 	if l.conns == nil {
 		return 0
 	}
-	idle, full := l.conns.State()
+	state := l.conns.State()
+	cost := 0.0
+	if !state.Kept {
+		cost = guestCost * float64(mean)
+	}
 	switch {
-	case full:
-		return float64(mean) * l.ratio
-	case !idle:
-		return float64(connectTime)
+	case state.Full:
+		cost += float64(mean) * l.ratio
+	case !state.Idle:
+		cost += float64(connectTime)
 	}
-	return 0
+	return cost
 }
 
 // eject leaves the leaf out, each time in a row for longer.
--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -202,16 +202,17 @@
 
 func (s *backend) updatePools(usable []*catalog.Leaf, maxConns int, ahead bool) {
 	kept := make(map[string]*leafPool, len(usable))
+	homes := s.homes(usable, maxConns)
 	for _, e := range usable {
-		limit := connShare(maxConns, e.Slots, s.part)
+		limit, home := connShare(maxConns, e.Slots, s.part), homes[e.ID]
 		p := s.pools[e.ID]
 		if p == nil || !p.entry.SameProcess(e) {
-			p = &leafPool{entry: e, pool: leafconn.NewPool(e.Address, limit)}
+			p = &leafPool{entry: e, pool: leafconn.NewPool(e.Address, limit, home)}
 			if ahead && e.Zone == s.owner.options.Zone {
 				go s.warm(p)
 			}
 		}
-		p.pool.SetLimit(limit)
+		p.pool.SetLimit(limit, home)
 		kept[e.ID] = p
 	}
 	for id, p := range s.pools {
@@ -222,6 +223,28 @@
 	s.pools = kept
 }
 
+// connRooms returns the number of nodes that can keep a connection to a leaf.
+func connRooms(maxConns int) int {
+	if maxConns <= 0 {
+		return leafpick.Unbounded
+	}
+	return max(int(connUse*float64(maxConns)), 1)
+}
+
+// homes returns the IDs of the leaves to which this node keeps connections.
+func (s *backend) homes(usable []*catalog.Leaf, maxConns int) map[string]bool {
+	ids := make([]string, 0, len(usable))
+	for _, e := range usable {
+		ids = append(ids, e.ID)
+	}
+	slices.Sort(ids)
+	homes := make(map[string]bool, len(ids))
+	for i, home := range s.sharers.Homes(slices.Repeat([]int{connRooms(maxConns)}, len(ids))) {
+		homes[ids[i]] = home
+	}
+	return homes
+}
+
 func (s *backend) warm(p *leafPool) {
 	ctx, cancel := context.WithTimeout(context.Background(), warmTimeout)
 	defer cancel()
--- a/internal/relay/backend_test.go
+++ b/internal/relay/backend_test.go
@@ -1,9 +1,15 @@
 package relay
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
+	"go.uber.org/zap"
+
+	"github.com/redwingshelf/redwingshelf/internal/catalog"
+	"github.com/redwingshelf/redwingshelf/internal/leafpick"
 )
 
 func TestConnShare(t *testing.T) {
@@ -24,3 +30,48 @@
 		assert.Equal(t, c.want, connShare(c.maxConns, c.slots, c.part), "%+v", c)
 	}
 }
+
+// scarceView is a service of three leaves that together have room for fewer connections
+// than there are nodes.
+func scarceView(maxConns int) *catalog.View {
+	table := &catalog.Table{
+		Version:  1,
+		Services: map[string]*catalog.Service{"s": {Name: "s", MaxConns: maxConns}},
+		Routes:   []*catalog.Route{{Name: "r", Host: "h", Prefix: "/", Shards: []string{"s"}}},
+	}
+	view := &catalog.View{AsOf: 1, Table: table, Newest: table, Leaves: map[string][]*catalog.Leaf{}}
+	for i := range 3 {
+		view.Leaves["s"] = append(view.Leaves["s"], &catalog.Leaf{
+			ID: fmt.Sprint("leaf", i), Service: "s", Address: "127.0.0.1:1", Zone: "z", Slots: 2,
+		})
+	}
+	return view
+}
+
+// TestKeptConnectionsStayBelowTheBoundOfALeaf has more nodes than a leaf takes
+// connections. It would reset those beyond its bound.
+func TestKeptConnectionsStayBelowTheBoundOfALeaf(t *testing.T) {
+	const nodes, maxConns = 12, 5
+	view := scarceView(maxConns)
+	names := make([]string, nodes)
+	for i := range names {
+		names[i] = fmt.Sprint("n", i)
+	}
+	kept := map[string]int{}
+	for _, self := range names {
+		all := leafpick.Fleet{Self: self, Names: names}
+		b := NewBackends(Options{Zone: "other", RepeatWindow: time.Second}, &Fleet{All: all, Gatherers: all}, zap.NewNop())
+		b.Update(view)
+		homes := 0
+		for id, p := range b.get("s").pools {
+			if p.pool.State().Kept {
+				kept[id]++
+				homes++
+			}
+		}
+		assert.Equal(t, 1, homes, "%s has one home", self)
+	}
+	for id, n := range kept {
+		assert.LessOrEqual(t, n, maxConns, id)
+	}
+}
