Let nodes without connections to all shards have others gather for them

Nodes are ordered alike for all services, with each zone spread over the order, so that those without a home are the same for all shards. They have nodes of their zone gather for them, as small hosts do. The room is worked out from the catalog again when it changes.

--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -231,6 +231,25 @@
 	return max(int(connUse*float64(maxConns)), 1)
 }
 
+// GatherRoom returns the number of nodes that can keep a connection to a leaf of each
+// gathered service.
+func GatherRoom(view *catalog.View) int {
+	room := leafpick.Unbounded
+	for name := range view.Gathered() {
+		rooms, usable := 0, 0
+		for _, e := range view.Leaves[name] {
+			if view.Usable(e) {
+				rooms = min(rooms+connRooms(view.Service(name).MaxConns), leafpick.Unbounded)
+				usable++
+			}
+		}
+		if usable > 0 {
+			room = min(room, rooms)
+		}
+	}
+	return room
+}
+
 // homes returns the IDs of the leaves to which this node keeps connections.
 func (s *backend) homes(usable []*catalog.Leaf, maxConns int) map[string]bool {
 	ids := make([]string, 0, len(usable))
--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// minDelegated is the number of shards from which a gather is worth another hop.
-	minDelegated = 12
+	// MinDelegated is the number of shards from which a gather by a much larger node is
+	// worth another hop.
+	MinDelegated = 12
 	// delegateBadFor is how long a peer that failed gets no gathers.
 	delegateBadFor = 2 * time.Second
 	// hopMargin is the time that the way to a peer and back takes.
@@ -71,20 +72,25 @@
 	// mu guards the fields below.
 	mu   sync.Mutex
 	list []Helper
+	from int
 	bad  map[string]time.Time
 }
 
-// SetHelpers sets the peers that gather for this node; none if it gathers itself.
-func (h *Handler) SetHelpers(list []Helper) {
+// SetHelpers sets the peers that gather for this node from a number of shards on; none
+// if it gathers itself.
+func (h *Handler) SetHelpers(list []Helper, from int) {
 	h.helpers.mu.Lock()
 	defer h.helpers.mu.Unlock()
-	h.helpers.list = list
+	h.helpers.list, h.helpers.from = list, from
 }
 
-// pick returns the helper whose turn it is.
-func (s *helpers) pick(now time.Time) (Helper, bool) {
+// pick returns the helper whose turn it is for a gather of some shards.
+func (s *helpers) pick(now time.Time, shards int) (Helper, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if shards == 0 || shards < s.from {
+		return Helper{}, false
+	}
 	for range s.list {
 		helper := s.list[int(s.next.Add(1))%len(s.list)]
 		if now.After(s.bad[helper.Name]) {
@@ -105,12 +111,9 @@
 // counts, since both together could pass the route's bound of attempts.
 func (h *Handler) delegate(ctx context.Context, q *query) *GatherAnswer {
 	r := q.request
-	if len(r.route.Shards) < minDelegated {
-		return nil
-	}
 	now := time.Now()
 	within := q.cut.Sub(now) - hopMargin
-	helper, found := h.helpers.pick(now)
+	helper, found := h.helpers.pick(now, len(r.route.Shards))
 	if !found || within <= hopMargin {
 		return nil
 	}
--- a/internal/relaynode/fleet.go
+++ b/internal/relaynode/fleet.go
@@ -3,13 +3,9 @@
 import (
 	"context"
 	"errors"
-	"slices"
-
-	"go.uber.org/zap"
 
 	"github.com/redwingshelf/redwingshelf/internal/fleet"
 	"github.com/redwingshelf/redwingshelf/internal/kind"
-	"github.com/redwingshelf/redwingshelf/internal/leafpick"
 	"github.com/redwingshelf/redwingshelf/internal/member"
 	"github.com/redwingshelf/redwingshelf/internal/peer"
 	"github.com/redwingshelf/redwingshelf/internal/quarantine"
@@ -18,21 +14,10 @@
 	"github.com/redwingshelf/redwingshelf/internal/wire"
 )
 
-// muchLarger is how many times the capacity of another node must be that of this one
-// for it to gather for this one.
-const muchLarger = 2
-
 func (n *Node) newFleet() *fleet.Controller {
 	return fleet.New(fleet.Options{
-		Member: member.Options{Seeds: n.settings.Seeds},
-		Self: member.Member{
-			Name:        n.process,
-			Address:     n.settings.PeerListen,
-			DataCentre:  n.settings.Zone,
-			Incarnation: 1,
-			State:       member.Alive,
-			Record:      member.Record{Capacity: n.settings.capacity()},
-		},
+		Member:   member.Options{Seeds: n.settings.Seeds},
+		Self:     n.selfMember(),
 		Send:     n.pool.Send,
 		OnChange: n.membersChanged,
 		// The name is unique to this process, so no other can take it.
@@ -45,8 +30,7 @@
 // membersChanged shares the bounds of leaves out among the live nodes, and finds
 // this node's place in the tree that spreads the catalog.
 func (n *Node) membersChanged(members []member.Member) {
-	self := member.Member{Name: n.process, DataCentre: n.settings.Zone, Record: member.Record{Capacity: n.settings.capacity()}}
-	sharing := []member.Member{self}
+	sharing := []member.Member{n.selfMember()}
 	var alive []statesync.Node
 	for _, m := range members {
 		if m.State != member.Dead {
@@ -63,37 +47,19 @@
 		addresses = append(addresses, a.Address)
 	}
 	n.alive.Store(&addresses)
-	fleet, helpers := shareOut(&self, sharing)
-	n.logger.Info("bounds shared out", zap.Int("nodes", len(fleet.All.Names)), zap.Int("gatherers", len(fleet.Gatherers.Names)),
-		zap.Int("helpers", len(helpers)), zap.Bool("follows_store", root))
-	n.backends.SetFleet(fleet, n.catalog.View())
-	n.handler.SetHelpers(helpers)
+	n.sharing.set(sharing)
+	n.shareBounds(n.catalog.View())
 }
 
-// shareOut returns the nodes that share the bounds of leaves, and the peers that
-// gather for self: those of its zone, where self is much smaller than the largest
-// node.
-func shareOut(self *member.Member, nodes []member.Member) (*relay.Fleet, []relay.Helper) {
-	var largest uint32
-	for _, m := range nodes {
-		largest = max(largest, m.Record.Capacity)
-	}
-	gathers := func(m *member.Member) bool { return muchLarger*m.Record.Capacity > largest || largest == 0 }
-	fleet := &relay.Fleet{All: leafpick.Fleet{Self: self.Name}, Gatherers: leafpick.Fleet{Self: self.Name}}
-	var helpers []relay.Helper
-	for _, m := range nodes {
-		fleet.All.Names = append(fleet.All.Names, m.Name)
-		if !gathers(&m) {
-			continue
-		}
-		fleet.Gatherers.Names = append(fleet.Gatherers.Names, m.Name)
-		if !gathers(self) && m.State == member.Alive && m.DataCentre == self.DataCentre {
-			helpers = append(helpers, relay.Helper{Name: m.Name, Address: m.Address})
-		}
+func (n *Node) selfMember() member.Member {
+	return member.Member{
+		Name:        n.process,
+		Address:     n.settings.PeerListen,
+		DataCentre:  n.settings.Zone,
+		Incarnation: 1,
+		State:       member.Alive,
+		Record:      member.Record{Capacity: n.settings.capacity()},
 	}
-	slices.Sort(fleet.All.Names)
-	slices.Sort(fleet.Gatherers.Names)
-	return fleet, helpers
 }
 
 // Gather implements relay.Gatherer.
--- a/internal/relaynode/node.go
+++ b/internal/relaynode/node.go
@@ -56,6 +56,7 @@
 	ready    *http.Server
 	idle     *idleConns
 	open     listeners
+	sharing  sharing
 	// alive are the peer addresses of the other live nodes.
 	alive atomic.Pointer[[]string]
 	// untold are losses that the other nodes have not been told of.
@@ -113,6 +114,8 @@
 	n.peers = peer.NewServer(n.open.peers, hello, traffic, n)
 	n.fleet = n.newFleet()
 	n.watcher.SetUpstream(otherAddresses(s.Seeds, s.PeerListen), true)
+	n.sharing.set([]member.Member{n.selfMember()})
+	n.sharing.setRoom(leafpick.Unbounded)
 	n.idle = newIdleConns(n.idleTimeout)
 	n.callers = &http.Server{
 		Handler: n.handler, ConnState: n.idle.track, ConnContext: withCallerConn,
@@ -159,7 +162,11 @@
 // catalogChanged passes a new view on and reports the node ready once it can serve.
 func (n *Node) catalogChanged() {
 	view := n.catalog.View()
-	n.backends.Update(view)
+	if n.sharing.setRoom(relay.GatherRoom(view)) {
+		n.shareBounds(view)
+	} else {
+		n.backends.Update(view)
+	}
 	if view.Table != nil && len(view.Leaves) > 0 && !n.isReady.Swap(true) {
 		n.logger.Info("node ready", zap.Int64("version", view.Table.Version), zap.Uint64("as_of", view.AsOf))
 	}
--- /dev/null
+++ b/internal/relaynode/sharing.go
@@ -0,0 +1,136 @@
+package relaynode
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/redwingshelf/redwingshelf/internal/catalog"
+	"github.com/redwingshelf/redwingshelf/internal/leafpick"
+	"github.com/redwingshelf/redwingshelf/internal/member"
+	"github.com/redwingshelf/redwingshelf/internal/relay"
+	"github.com/redwingshelf/redwingshelf/internal/rendezvous"
+)
+
+// muchLarger is how many times the capacity of another node must be that of this one
+// for it to gather for this one.
+const muchLarger = 2
+
+// sharing is what decides on how the bounds of leaves are shared out.
+type sharing struct {
+	// order serializes the steps from a decision to its effect.
+	order sync.Mutex
+	// mu guards the fields below.
+	mu sync.Mutex
+	// nodes are the nodes that share, this one first.
+	nodes []member.Member
+	// room is the number of nodes that can keep connections to leaves of all shards.
+	room int
+}
+
+func (s *sharing) set(nodes []member.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes = nodes
+}
+
+// setRoom takes the room of a new view, and reports whether that changes anything.
+func (s *sharing) setRoom(room int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := min(room, len(s.nodes)) != min(s.room, len(s.nodes))
+	s.room = room
+	return changed
+}
+
+func (s *sharing) get() (nodes []member.Member, room int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.nodes, s.room
+}
+
+// shareBounds shares the bounds of leaves out among the nodes.
+func (n *Node) shareBounds(view *catalog.View) {
+	n.sharing.order.Lock()
+	defer n.sharing.order.Unlock()
+	nodes, room := n.sharing.get()
+	fleet, helpers, from := shareOut(nodes, room)
+	n.logger.Info("bounds shared out", zap.Int("nodes", len(fleet.All.Names)), zap.Int("gatherers", len(fleet.Gatherers.Names)),
+		zap.Int("room", room), zap.Int("helpers", len(helpers)), zap.Uint64("as_of", view.AsOf))
+	n.backends.SetFleet(fleet, view)
+	n.handler.SetHelpers(helpers, from)
+}
+
+// shareOut returns the nodes that share the bounds of leaves, and the peers that gather
+// for the first node, from a number of shards on. Nodes gather for those of their zone
+// that are much smaller than the largest node and, where there are more nodes than can
+// keep connections to leaves of all shards, for those without.
+func shareOut(nodes []member.Member, room int) (fleet *relay.Fleet, helpers []relay.Helper, from int) {
+	self := &nodes[0]
+	var largest uint32
+	for _, m := range nodes {
+		largest = max(largest, m.Record.Capacity)
+	}
+	nodes = interleaved(nodes)
+	large := slices.DeleteFunc(slices.Clone(nodes), func(m member.Member) bool {
+		return muchLarger*m.Record.Capacity <= largest && largest > 0
+	})
+	gatherers := large[:min(len(large), room)]
+	fleet = &relay.Fleet{
+		All:       leafpick.Fleet{Self: self.Name, Names: names(nodes)},
+		Gatherers: leafpick.Fleet{Self: self.Name, Names: names(gatherers)},
+	}
+	if slices.Contains(fleet.Gatherers.Names, self.Name) {
+		return fleet, nil, 0
+	}
+	for _, m := range gatherers {
+		if m.State == member.Alive && m.DataCentre == self.DataCentre {
+			helpers = append(helpers, relay.Helper{Name: m.Name, Address: m.Address})
+		}
+	}
+	from = relay.MinDelegated
+	if slices.Contains(names(large), self.Name) {
+		from = 1
+	}
+	return fleet, helpers, from
+}
+
+// interleaved returns the nodes in an order that all nodes compute alike, with those of
+// each zone spread over it.
+func interleaved(nodes []member.Member) []member.Member {
+	type placed struct {
+		member.Member
+		weight uint64
+		round  int
+	}
+	order := make([]placed, 0, len(nodes))
+	for _, m := range nodes {
+		order = append(order, placed{Member: m, weight: rendezvous.Weight(m.Name)})
+	}
+	slices.SortFunc(order, func(a, b placed) int {
+		return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.Name, b.Name))
+	})
+	rounds := map[string]int{}
+	for i := range order {
+		order[i].round = rounds[order[i].DataCentre]
+		rounds[order[i].DataCentre]++
+	}
+	slices.SortStableFunc(order, func(a, b placed) int {
+		return cmp.Or(cmp.Compare(a.round, b.round), cmp.Compare(a.DataCentre, b.DataCentre))
+	})
+	sorted := make([]member.Member, len(order))
+	for i := range order {
+		sorted[i] = order[i].Member
+	}
+	return sorted
+}
+
+func names(nodes []member.Member) []string {
+	list := make([]string, 0, len(nodes))
+	for _, m := range nodes {
+		list = append(list, m.Name)
+	}
+	return list
+}
