Keep no connections at a node for which a leaf has no room

Cause: a node that lets others gather took a leaf's room for the gatherers as room for itself too, so that its own connections, opened while it knew no peer, stayed. Four nodes kept 4 connections at a leaf with room for 2; the leaf resets those beyond 3.

It keeps them only where there is room for all nodes.

--- a/internal/leafpick/homes.go
+++ b/internal/leafpick/homes.go
@@ -14,19 +14,20 @@
 // leaves out to the nodes in turn, in the order of their names in the fleet, so that each
 // node has a home while there are as many rooms as nodes. Where all services have the
 // same rooms, the first nodes have homes in each of them. A node that joins or leaves
-// moves few others.
+// moves few others. A node that does not share has no homes.
 func (f *Fleet) Homes(nodes []int) []bool {
 	homes := make([]bool, len(nodes))
 	place, size := slices.Index(f.Names, f.Self), f.Size()
+	if place < 0 {
+		return homes
+	}
 	dealt := 0
 	for i, rooms := range nodes {
 		if rooms >= size {
 			homes[i] = true
 			continue
 		}
-		if place >= 0 {
-			homes[i] = (place-dealt%size+size)%size < rooms
-		}
+		homes[i] = (place-dealt%size+size)%size < rooms
 		dealt += rooms
 	}
 	return homes
--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -250,15 +250,20 @@
 	return room
 }
 
-// homes returns the IDs of the leaves to which this node keeps connections.
+// homes returns the IDs of the leaves to which this node keeps connections. One that does
+// not share the bounds of the service does where there is room for all nodes.
 func (s *backend) homes(usable []*catalog.Leaf, maxConns int) map[string]bool {
+	sharers := s.sharers
+	if all := &s.owner.fleet.Load().All; connRooms(maxConns) >= all.Size() {
+		sharers = all
+	}
 	ids := make([]string, 0, len(usable))
 	for _, e := range usable {
 		ids = append(ids, e.ID)
 	}
 	slices.Sort(ids)
 	homes := make(map[string]bool, len(ids))
-	for i, home := range s.sharers.Homes(slices.Repeat([]int{connRooms(maxConns)}, len(ids))) {
+	for i, home := range sharers.Homes(slices.Repeat([]int{connRooms(maxConns)}, len(ids))) {
 		homes[ids[i]] = home
 	}
 	return homes
