Work out a node's place in the fleet once, and pass over fleets of the same nodes

For each node that joins, leaves or is suspected every service was worked out anew, with the place of the node among all found for each leaf.

--- a/internal/leafpick/group.go
+++ b/internal/leafpick/group.go
@@ -26,18 +26,6 @@
 	coldUse = 0.8
 )
 
-// Fleet is the set of nodes that share the bounds of leaves.
-type Fleet struct {
-	// Self is this node.
-	Self string
-	// Names are the live nodes that share. If this one is not among them, it has no
-	// part.
-	Names []string
-}
-
-// Size returns the number of nodes, at least 1.
-func (f *Fleet) Size() int { return max(len(f.Names), 1) }
-
 // Options bound the use of leaves.
 type Options struct {
 	Zone string
@@ -214,7 +202,7 @@
 // coldPermits returns this node's share of the requests in a second at a cold leaf.
 // Permits that can't be shared equally go to the nodes with the highest rank.
 func (g *Group) coldPermits(l *Leaf, fleet *Fleet) int {
-	if !slices.Contains(fleet.Names, fleet.Self) {
+	if !fleet.Shares() {
 		return 0
 	}
 	total := int(g.coldPerSecond * coldUse)
--- a/internal/leafpick/group_test.go
+++ b/internal/leafpick/group_test.go
@@ -14,7 +14,12 @@
 
 const mean = 10 * time.Millisecond
 
-var alone = &leafpick.Fleet{Self: "n0", Names: []string{"n0"}}
+var alone = fleetOf("n0", "n0")
+
+func fleetOf(self string, names ...string) *leafpick.Fleet {
+	f := leafpick.NewFleet(self, names)
+	return &f
+}
 
 func entries(zones ...string) []*catalog.Leaf {
 	var list []*catalog.Leaf
@@ -159,7 +164,7 @@
 			var sent []time.Duration
 			for _, name := range names {
 				g := newGroup(cold)
-				fleet := &leafpick.Fleet{Self: name, Names: names}
+				fleet := fleetOf(name, names...)
 				for now := time.Duration(0); now < 10*time.Second; now += 20 * time.Millisecond {
 					if c := g.Begin(now, leafpick.Ask{Mean: mean}, fleet, 0); c != nil {
 						sent = append(sent, now)
--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -1,9 +1,7 @@
 package relay
 
 import (
-	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,14 +16,6 @@
 )
 
 const (
-	// connUse is the part of a leaf's connections that the nodes share out; the
-	// rest is room for nodes that were replaced while their connections still count.
-	connUse = 0.8
-	// maxConnsPerLeaf bounds a node's connections to one leaf.
-	maxConnsPerLeaf = 6
-	// connsPerSlot bounds the connections of all nodes by a leaf's slots. A leaf
-	// queues few requests and rejects others; nodes queue them with the newest first.
-	connsPerSlot = 6
 	// repeatUse is the part of the shared budget of repeats that is used; the rest
 	// is room for requests that are counted in another window.
 	repeatUse = 0.9
@@ -33,13 +23,8 @@
 	// for the length of the window, since the process before it may have used its
 	// own just now.
 	startUse = 0.4
-	// othersPart is the part of the repeats of gathered services that nodes which do
-	// not gather share; they gather themselves when no gatherer answers.
-	othersPart = 0.15
 	// hedgeReserve is the number of repeats that hedges leave to retries.
 	hedgeReserve = 0.5
-	// warmTimeout bounds the time to open a connection ahead of use.
-	warmTimeout = time.Second
 )
 
 // Options bound what a node may do to leaves. The nodes share each bound.
@@ -66,34 +51,9 @@
 	byName  atomic.Pointer[map[string]*backend]
 	// settled is set once the node has had time to learn of its peers.
 	settled atomic.Bool
-	// mu serializes updates.
-	mu sync.Mutex
-}
-
-// Fleet is the set of live nodes that share the bounds of leaves.
-type Fleet struct {
-	// All are all nodes; they share the bounds of services that are not gathered.
-	All leafpick.Fleet
-	// Gatherers are the nodes that gather answers, for others too where those are
-	// much smaller. They share the bounds of gathered services, but for a small
-	// part of the repeats.
-	Gatherers leafpick.Fleet
-}
-
-// gathers reports whether the node itself is a gatherer.
-func (f *Fleet) gathers() bool { return slices.Contains(f.Gatherers.Names, f.Gatherers.Self) }
-
-// sharers returns the nodes that share the bounds of a service, and this node's part
-// of a number that they share.
-func (f *Fleet) sharers(gathered bool) (*leafpick.Fleet, float64) {
-	others := len(f.All.Names) - len(f.Gatherers.Names)
-	if !gathered || others <= 0 {
-		return &f.All, 1 / float64(f.All.Size())
-	}
-	if f.gathers() {
-		return &f.Gatherers, (1 - othersPart) / float64(f.Gatherers.Size())
-	}
-	return &f.Gatherers, othersPart / float64(others)
+	// mu serializes updates and guards view, the last one taken.
+	mu   sync.Mutex
+	view *catalog.View
 }
 
 // backend is one service.
@@ -109,12 +69,6 @@
 	repeats *budget.Window
 }
 
-// leafPool is the connections to one start of a leaf.
-type leafPool struct {
-	entry *catalog.Leaf
-	pool  *leafconn.Pool
-}
-
 // NewBackends returns backends without services.
 func NewBackends(o Options, fleet *Fleet, logger *zap.Logger) *Backends {
 	b := &Backends{options: o, logger: logger, start: time.Now()}
@@ -127,10 +81,16 @@
 
 func (b *Backends) get(service string) *backend { return (*b.byName.Load())[service] }
 
-// SetFleet takes the nodes that share the bounds.
+// SetFleet takes the nodes that share the bounds, and a view. A node that is suspected or
+// cleared changes neither.
 func (b *Backends) SetFleet(fleet *Fleet, view *catalog.View) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if view == b.view && fleet.equal(b.fleet.Load()) {
+		return
+	}
 	b.fleet.Store(fleet)
-	b.Update(view)
+	b.update(view)
 }
 
 // Settle tells that the peers known by now are those that share the bounds.
@@ -143,6 +103,12 @@
 func (b *Backends) Update(view *catalog.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.update(view)
+}
+
+// update needs mu.
+func (b *Backends) update(view *catalog.View) {
+	b.view = view
 	old := *b.byName.Load()
 	next := make(map[string]*backend, len(view.Leaves))
 	gathered := view.Gathered()
@@ -194,90 +160,6 @@
 	s.group.SetConnections(func(id string) leafpick.Connections { return s.pools[id].pool })
 }
 
-// connShare returns a node's share of the connections of a leaf.
-func connShare(maxConns, slots int, part float64) int {
-	total := min(connUse*float64(maxConns), float64(connsPerSlot*slots))
-	return min(max(int(total*part), 1), maxConnsPerLeaf)
-}
-
-func (s *backend) updatePools(usable []*catalog.Leaf, maxConns int, ahead bool) {
-	kept := make(map[string]*leafPool, len(usable))
-	homes := s.homes(usable, maxConns)
-	for _, e := range usable {
-		limit, home := connShare(maxConns, e.Slots, s.part), homes[e.ID]
-		p := s.pools[e.ID]
-		if p == nil || !p.entry.SameProcess(e) {
-			p = &leafPool{entry: e, pool: leafconn.NewPool(e.Address, limit, home)}
-			if ahead && e.Zone == s.owner.options.Zone {
-				go s.warm(p)
-			}
-		}
-		p.pool.SetLimit(limit, home)
-		kept[e.ID] = p
-	}
-	for id, p := range s.pools {
-		if kept[id] != p {
-			p.pool.Close()
-		}
-	}
-	s.pools = kept
-}
-
-// connRooms returns the number of nodes that can keep a connection to a leaf.
-func connRooms(maxConns int) int {
-	if maxConns <= 0 {
-		return leafpick.Unbounded
-	}
-	return max(int(connUse*float64(maxConns)), 1)
-}
-
-// GatherRoom returns the number of nodes that can keep a connection to a leaf of each
-// gathered service.
-func GatherRoom(view *catalog.View) int {
-	room := leafpick.Unbounded
-	for name := range view.Gathered() {
-		rooms, usable := 0, 0
-		for _, e := range view.Leaves[name] {
-			if view.Usable(e) {
-				rooms = min(rooms+connRooms(view.Service(name).MaxConns), leafpick.Unbounded)
-				usable++
-			}
-		}
-		if usable > 0 {
-			room = min(room, rooms)
-		}
-	}
-	return room
-}
-
-// homes returns the IDs of the leaves to which this node keeps connections. One that does
-// not share the bounds of the service does where there is room for all nodes.
-func (s *backend) homes(usable []*catalog.Leaf, maxConns int) map[string]bool {
-	sharers := s.sharers
-	if all := &s.owner.fleet.Load().All; connRooms(maxConns) >= all.Size() {
-		sharers = all
-	}
-	ids := make([]string, 0, len(usable))
-	for _, e := range usable {
-		ids = append(ids, e.ID)
-	}
-	slices.Sort(ids)
-	homes := make(map[string]bool, len(ids))
-	for i, home := range sharers.Homes(slices.Repeat([]int{connRooms(maxConns)}, len(ids))) {
-		homes[ids[i]] = home
-	}
-	return homes
-}
-
-func (s *backend) warm(p *leafPool) {
-	ctx, cancel := context.WithTimeout(context.Background(), warmTimeout)
-	defer cancel()
-	if err := p.pool.Warm(ctx); err != nil {
-		s.owner.logger.Info("leaf can't be reached", zap.String("leaf", p.entry.ID),
-			zap.String("address", p.entry.Address), zap.Error(err))
-	}
-}
-
 // shareBudget sets this node's part of the service's budget of repeats.
 func (s *backend) shareBudget() {
 	o := s.owner.options
--- /dev/null
+++ b/internal/relay/connections.go
@@ -0,0 +1,110 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/redwingshelf/redwingshelf/internal/catalog"
+	"github.com/redwingshelf/redwingshelf/internal/leafconn"
+	"github.com/redwingshelf/redwingshelf/internal/leafpick"
+)
+
+const (
+	// connUse is the part of a leaf's connections that the nodes share out; the
+	// rest is room for nodes that were replaced while their connections still count.
+	connUse = 0.8
+	// maxConnsPerLeaf bounds a node's connections to one leaf.
+	maxConnsPerLeaf = 6
+	// connsPerSlot bounds the connections of all nodes by a leaf's slots. A leaf
+	// queues few requests and rejects others; nodes queue them with the newest first.
+	connsPerSlot = 6
+	// warmTimeout bounds the time to open a connection ahead of use.
+	warmTimeout = time.Second
+)
+
+// leafPool is the connections to one start of a leaf.
+type leafPool struct {
+	entry *catalog.Leaf
+	pool  *leafconn.Pool
+}
+
+// connShare returns a node's share of the connections of a leaf.
+func connShare(maxConns, slots int, part float64) int {
+	total := min(connUse*float64(maxConns), float64(connsPerSlot*slots))
+	return min(max(int(total*part), 1), maxConnsPerLeaf)
+}
+
+func (s *backend) updatePools(usable []*catalog.Leaf, maxConns int, ahead bool) {
+	kept := make(map[string]*leafPool, len(usable))
+	homes := s.homes(usable, maxConns)
+	for i, e := range usable {
+		limit, home := connShare(maxConns, e.Slots, s.part), homes(i)
+		p := s.pools[e.ID]
+		if p == nil || !p.entry.SameProcess(e) {
+			p = &leafPool{entry: e, pool: leafconn.NewPool(e.Address, limit, home)}
+			if ahead && e.Zone == s.owner.options.Zone {
+				go s.warm(p)
+			}
+		}
+		p.pool.SetLimit(limit, home)
+		kept[e.ID] = p
+	}
+	for id, p := range s.pools {
+		if kept[id] != p {
+			p.pool.Close()
+		}
+	}
+	s.pools = kept
+}
+
+// connRooms returns the number of nodes that can keep a connection to a leaf.
+func connRooms(maxConns int) int {
+	if maxConns <= 0 {
+		return leafpick.Unbounded
+	}
+	return max(int(connUse*float64(maxConns)), 1)
+}
+
+// GatherRoom returns the number of nodes that can keep a connection to a leaf of each
+// gathered service.
+func GatherRoom(view *catalog.View) int {
+	room := leafpick.Unbounded
+	for name := range view.Gathered() {
+		rooms, usable := 0, 0
+		for _, e := range view.Leaves[name] {
+			if view.Usable(e) {
+				rooms = min(rooms+connRooms(view.Service(name).MaxConns), leafpick.Unbounded)
+				usable++
+			}
+		}
+		if usable > 0 {
+			room = min(room, rooms)
+		}
+	}
+	return room
+}
+
+// homes reports for each leaf whether this node keeps connections to it. One that does not
+// share the bounds of the service does where there is room for all nodes. It sorts the
+// leaves if there is not.
+func (s *backend) homes(usable []*catalog.Leaf, maxConns int) func(i int) bool {
+	rooms := connRooms(maxConns)
+	if rooms >= s.owner.fleet.Load().All.Size() {
+		return func(int) bool { return true }
+	}
+	slices.SortFunc(usable, func(a, b *catalog.Leaf) int { return cmp.Compare(a.ID, b.ID) })
+	return func(i int) bool { return s.sharers.Home(i, rooms) }
+}
+
+func (s *backend) warm(p *leafPool) {
+	ctx, cancel := context.WithTimeout(context.Background(), warmTimeout)
+	defer cancel()
+	if err := p.pool.Warm(ctx); err != nil {
+		s.owner.logger.Info("leaf can't be reached", zap.String("leaf", p.entry.ID),
+			zap.String("address", p.entry.Address), zap.Error(err))
+	}
+}
--- a/internal/relay/backend_test.go
+++ b/internal/relay/connections_test.go
@@ -59,7 +59,7 @@
 	}
 	kept := map[string]int{}
 	for _, self := range names {
-		all := leafpick.Fleet{Self: self, Names: names}
+		all := leafpick.NewFleet(self, names)
 		b := NewBackends(Options{Zone: "other", RepeatWindow: time.Second}, &Fleet{All: all, Gatherers: all}, zap.NewNop())
 		b.Update(view)
 		homes := 0
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -81,7 +81,7 @@
 
 // alone is a fleet of one node.
 func alone() *relay.Fleet {
-	one := leafpick.Fleet{Self: "a", Names: []string{"a"}}
+	one := leafpick.NewFleet("a", []string{"a"})
 	return &relay.Fleet{All: one, Gatherers: one}
 }
 
--- a/internal/relaynode/node.go
+++ b/internal/relaynode/node.go
@@ -127,7 +127,7 @@
 
 // alone returns the fleet of a node that knows no other.
 func alone(process string) *relay.Fleet {
-	one := leafpick.Fleet{Self: process, Names: []string{process}}
+	one := leafpick.NewFleet(process, []string{process})
 	return &relay.Fleet{All: one, Gatherers: one}
 }
 
--- a/internal/relaynode/sharing.go
+++ b/internal/relaynode/sharing.go
@@ -79,10 +79,10 @@
 	})
 	gatherers := large[:min(len(large), room)]
 	fleet = &relay.Fleet{
-		All:       leafpick.Fleet{Self: self.Name, Names: names(nodes)},
-		Gatherers: leafpick.Fleet{Self: self.Name, Names: names(gatherers)},
+		All:       leafpick.NewFleet(self.Name, names(nodes)),
+		Gatherers: leafpick.NewFleet(self.Name, names(gatherers)),
 	}
-	if slices.Contains(fleet.Gatherers.Names, self.Name) {
+	if fleet.Gatherers.Shares() {
 		return fleet, nil, 0
 	}
 	for _, m := range gatherers {
