--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -72,23 +72,24 @@
 	// mu guards the fields below.
 	mu   sync.Mutex
 	list []Helper
-	from int
-	bad  map[string]time.Time
+	// minShards is the number of shards from which a helper gathers.
+	minShards int
+	bad       map[string]time.Time
 }
 
-// SetHelpers sets the peers that gather for this node from a number of shards on; none
-// if it gathers itself.
-func (h *Handler) SetHelpers(list []Helper, from int) {
+// SetHelpers sets the peers that gather for this node, none if it gathers itself, and the
+// number of shards from which they do.
+func (h *Handler) SetHelpers(list []Helper, minShards int) {
 	h.helpers.mu.Lock()
 	defer h.helpers.mu.Unlock()
-	h.helpers.list, h.helpers.from = list, from
+	h.helpers.list, h.helpers.minShards = list, minShards
 }
 
 // pick returns the helper whose turn it is for a gather of some shards.
 func (s *helpers) pick(now time.Time, shards int) (Helper, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if shards == 0 || shards < s.from {
+	if shards == 0 || shards < s.minShards {
 		return Helper{}, false
 	}
 	for range s.list {
--- a/internal/relaynode/sharing.go
+++ b/internal/relaynode/sharing.go
@@ -56,18 +56,18 @@
 	n.sharing.order.Lock()
 	defer n.sharing.order.Unlock()
 	nodes, room := n.sharing.get()
-	fleet, helpers, from := shareOut(nodes, room)
+	fleet, helpers, minShards := shareOut(nodes, room)
 	n.logger.Info("bounds shared out", zap.Int("nodes", len(fleet.All.Names)), zap.Int("gatherers", len(fleet.Gatherers.Names)),
 		zap.Int("room", room), zap.Int("helpers", len(helpers)), zap.Uint64("as_of", view.AsOf))
 	n.backends.SetFleet(fleet, view)
-	n.handler.SetHelpers(helpers, from)
+	n.handler.SetHelpers(helpers, minShards)
 }
 
 // shareOut returns the nodes that share the bounds of leaves, and the peers that gather
-// for the first node, from a number of shards on. Nodes gather for those of their zone
+// for the first node, gathers of at least minShards shards. Nodes gather for those of their zone
 // that are much smaller than the largest node and, where there are more nodes than can
 // keep connections to leaves of all shards, for those without.
-func shareOut(nodes []member.Member, room int) (fleet *relay.Fleet, helpers []relay.Helper, from int) {
+func shareOut(nodes []member.Member, room int) (fleet *relay.Fleet, helpers []relay.Helper, minShards int) {
 	self := &nodes[0]
 	var largest uint32
 	for _, m := range nodes {
@@ -90,11 +90,11 @@
 			helpers = append(helpers, relay.Helper{Name: m.Name, Address: m.Address})
 		}
 	}
-	from = relay.MinDelegated
+	minShards = relay.MinDelegated
 	if slices.Contains(names(large), self.Name) {
-		from = 1
+		minShards = 1
 	}
-	return fleet, helpers, from
+	return fleet, helpers, minShards
 }
 
 // interleaved returns the nodes in an order that all nodes compute alike, with those of
--- a/internal/relaynode/sharing_test.go
+++ b/internal/relaynode/sharing_test.go
@@ -36,7 +36,7 @@
 		nodes     []member.Member
 		room      int
 		gatherers int
-		from      int
+		minShards int
 	}{
 		{"room for all", hosts(12, 0), leafpick.Unbounded, 12, 0},
 		{"just enough room", hosts(12, 0), 12, 12, 0},
@@ -49,7 +49,7 @@
 			var agreed []string
 			for i := range c.nodes {
 				nodes := append([]member.Member{c.nodes[i]}, append(c.nodes[:i:i], c.nodes[i+1:]...)...)
-				fleet, helpers, from := shareOut(nodes, c.room)
+				fleet, helpers, minShards := shareOut(nodes, c.room)
 				require.Len(t, fleet.All.Names, len(c.nodes))
 				require.Len(t, fleet.Gatherers.Names, c.gatherers)
 				if agreed == nil {
@@ -59,10 +59,10 @@
 				gathers := slices.Contains(agreed, nodes[0].Name)
 				if gathers {
 					require.Empty(t, helpers)
-					require.Zero(t, from)
+					require.Zero(t, minShards)
 					continue
 				}
-				require.Equal(t, c.from, from)
+				require.Equal(t, c.minShards, minShards)
 				for _, h := range helpers {
 					require.Contains(t, agreed, h.Name)
 				}
