--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,8 +15,6 @@
 	// MinDelegated is the number of shards from which a gather by a much larger node is
 	// worth another hop.
 	MinDelegated = 12
-	// delegateBadFor is how long a peer that failed gets no gathers.
-	delegateBadFor = 2 * time.Second
 	// hopMargin is the time that the way to a peer and back takes.
 	hopMargin = 3 * time.Millisecond
 )
@@ -52,11 +48,9 @@
 	Ran bool
 }
 
-// Helper is a peer that gathers for others.
-type Helper struct {
-	Name    string
-	Address string
-}
+// SetHelpers sets the peers that gather for this node, none if it gathers itself, and the
+// number of shards from which they do.
+func (h *Handler) SetHelpers(list []Helper, minShards int) { h.helpers.set(list, minShards) }
 
 // Gatherer reaches peers.
 type Gatherer interface {
@@ -64,49 +58,6 @@
 	Gather(ctx context.Context, address string, call *GatherCall) (answer *GatherAnswer, sent bool, err error)
 }
 
-// helpers is the set of peers that gather for this node, because they have more
-// processor time and a faster link.
-type helpers struct {
-	gatherer Gatherer
-	next     atomic.Uint32
-	// mu guards the fields below.
-	mu   sync.Mutex
-	list []Helper
-	// minShards is the number of shards from which a helper gathers.
-	minShards int
-	bad       map[string]time.Time
-}
-
-// SetHelpers sets the peers that gather for this node, none if it gathers itself, and the
-// number of shards from which they do.
-func (h *Handler) SetHelpers(list []Helper, minShards int) {
-	h.helpers.mu.Lock()
-	defer h.helpers.mu.Unlock()
-	h.helpers.list, h.helpers.minShards = list, minShards
-}
-
-// pick returns the helper whose turn it is for a gather of some shards.
-func (s *helpers) pick(now time.Time, shards int) (Helper, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if shards == 0 || shards < s.minShards {
-		return Helper{}, false
-	}
-	for range s.list {
-		helper := s.list[int(s.next.Add(1))%len(s.list)]
-		if now.After(s.bad[helper.Name]) {
-			return helper, true
-		}
-	}
-	return Helper{}, false
-}
-
-func (s *helpers) failed(helper Helper, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.bad[helper.Name] = now.Add(delegateBadFor)
-}
-
 // delegate lets a peer gather the answer to a request. It returns nil if this node
 // must gather it. Once the peer may have sent the request to leaves, only its answer
 // counts, since both together could pass the route's bound of attempts.
@@ -120,10 +71,12 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	gather := h.helpers.begin(helper, now, q.cut)
 	answer, sent, err := h.helpers.gatherer.Gather(ctx, helper.Address, &GatherCall{
 		ID: r.id, Method: r.method, URI: r.uri, Host: r.host, Header: r.header, Body: r.body,
 		Version: r.view.Table.Version, Left: time.Until(r.deadline) - hopMargin, Within: within,
 	})
+	h.helpers.end(helper, gather, time.Now(), err == nil)
 	if err == nil && (answer.Failed == "" || answer.Ran) {
 		return answer
 	}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -81,7 +81,7 @@
 func NewHandler(o HandlerOptions, d Dialect, c *catalog.Catalog, b *Backends, g Gatherer, log *reqlog.Log, scope tally.Scope) *Handler {
 	h := &Handler{
 		options: o, dialect: d, catalog: c, backends: b, routes: newRouteStates(), log: log,
-		metrics: newMetrics(scope), helpers: helpers{gatherer: g, bad: map[string]time.Time{}},
+		metrics: newMetrics(scope), helpers: newHelpers(g),
 		losses: quarantine.NewLosses(quarantine.LossOptions{Period: lossPeriod, MaxRecords: maxLosses}),
 	}
 	h.lag.Store(int64(firstLag))
