Report changes of the members together, at most each 50 ms

Each message that brings one change made a node copy, sort and count all members, place itself in the tree of its zone, with two hashes for each comparison, and share out the bounds of all services: some 1 ms for each of several hundred changes in the start or the loss of a zone.

Changes that come within 50 ms are reported together; nodes are hashed once for each order.

--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -16,7 +16,13 @@
 	"github.com/redwingshelf/redwingshelf/internal/wire"
 )
 
-const inboxSize = 1024
+const (
+	// inboxSize bounds the events that wait.
+	inboxSize = 1024
+	// reportPause is the least time between two reports of changes. It is short beside
+	// the time in which a member is found dead.
+	reportPause = 50 * time.Millisecond
+)
 
 // Options configure a Controller.
 type Options struct {
@@ -39,6 +45,9 @@
 	events     chan func(now time.Duration) []member.Outgoing
 	list       *member.List
 	superseded bool
+	// changed is set while a change of the view has not been reported.
+	changed    bool
+	nextReport time.Duration
 	// mu guards counts.
 	mu     sync.Mutex
 	counts map[string]int
@@ -68,17 +77,20 @@
 	defer ticker.Stop()
 	for {
 		var out []member.Outgoing
+		var now time.Duration
 		select {
 		case <-ctx.Done():
 			c.send(c.list.Stop())
 			return nil
 		case <-ticker.C:
-			out = c.list.Tick(time.Since(c.start))
+			now = time.Since(c.start)
+			out = c.list.Tick(now)
 		case event := <-c.events:
-			out = event(time.Since(c.start))
+			now = time.Since(c.start)
+			out = event(now)
 		}
 		c.send(out)
-		c.report()
+		c.report(now)
 	}
 }
 
@@ -144,17 +156,19 @@
 	}
 }
 
-// report passes changes of the view on.
-func (c *Controller) report() {
+// report passes changes of the view on. After one it waits for reportPause, so that many
+// changes at once, as in the start or loss of a data centre, cost each node little.
+func (c *Controller) report(now time.Duration) {
 	if c.list.Superseded() && !c.superseded {
 		c.superseded = true
 		c.options.Logger.Error("a newer process with this host's name is running")
 		c.options.OnSuperseded()
 	}
-	changes := c.list.Changes()
-	if len(changes) == 0 {
+	c.changed = c.changed || len(c.list.Changes()) > 0
+	if !c.changed || now < c.nextReport {
 		return
 	}
+	c.changed, c.nextReport = false, now+reportPause
 	members := c.list.Members()
 	counts := map[string]int{}
 	for i := range members {
--- a/internal/relaynode/sharing.go
+++ b/internal/relaynode/sharing.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 
@@ -101,28 +102,27 @@
 // each zone spread over it.
 func interleaved(nodes []member.Member) []member.Member {
 	type placed struct {
-		member.Member
+		*member.Member
 		weight uint64
-		round  int
 	}
-	order := make([]placed, 0, len(nodes))
-	for _, m := range nodes {
-		order = append(order, placed{Member: m, weight: rendezvous.Weight(m.Name)})
+	zones := map[string][]placed{}
+	for i := range nodes {
+		m := &nodes[i]
+		zones[m.DataCentre] = append(zones[m.DataCentre], placed{Member: m, weight: rendezvous.Weight(m.Name)})
 	}
-	slices.SortFunc(order, func(a, b placed) int {
-		return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.Name, b.Name))
-	})
-	rounds := map[string]int{}
-	for i := range order {
-		order[i].round = rounds[order[i].DataCentre]
-		rounds[order[i].DataCentre]++
+	for _, zone := range zones {
+		slices.SortFunc(zone, func(a, b placed) int {
+			return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.Name, b.Name))
+		})
 	}
-	slices.SortStableFunc(order, func(a, b placed) int {
-		return cmp.Or(cmp.Compare(a.round, b.round), cmp.Compare(a.DataCentre, b.DataCentre))
-	})
-	sorted := make([]member.Member, len(order))
-	for i := range order {
-		sorted[i] = order[i].Member
+	order := slices.Sorted(maps.Keys(zones))
+	sorted := make([]member.Member, 0, len(nodes))
+	for round := 0; len(sorted) < len(nodes); round++ {
+		for _, name := range order {
+			if zone := zones[name]; round < len(zone) {
+				sorted = append(sorted, *zone[round].Member)
+			}
+		}
 	}
 	return sorted
 }
--- a/internal/statesync/tree.go
+++ b/internal/statesync/tree.go
@@ -21,23 +21,31 @@
 	Zone    string
 }
 
+// ranked is a node with its weight in the order of its zone.
+type ranked struct {
+	Node
+	weight uint64
+}
+
+func rank(n Node) ranked { return ranked{Node: n, weight: rendezvous.Weight(n.Name)} }
+
 // Upstream returns the addresses of the nodes that self follows, best first, and
 // whether self is the root of its zone, which follows the store before any of them.
 // Every node of a zone computes the same tree from the same nodes.
 func Upstream(self Node, nodes []Node) (addresses []string, root bool) {
-	zones := map[string][]Node{self.Zone: {self}}
+	zones := map[string][]ranked{self.Zone: {rank(self)}}
 	for _, n := range nodes {
 		if n.Name != self.Name {
-			zones[n.Zone] = append(zones[n.Zone], n)
+			zones[n.Zone] = append(zones[n.Zone], rank(n))
 		}
 	}
 	for _, members := range zones {
-		slices.SortFunc(members, func(a, b Node) int {
-			return cmp.Or(cmp.Compare(rendezvous.Weight(a.Name), rendezvous.Weight(b.Name)), cmp.Compare(a.Name, b.Name))
+		slices.SortFunc(members, func(a, b ranked) int {
+			return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.Name, b.Name))
 		})
 	}
 	own := zones[self.Zone]
-	place := slices.IndexFunc(own, func(n Node) bool { return n.Name == self.Name })
+	place := slices.IndexFunc(own, func(n ranked) bool { return n.Name == self.Name })
 	for at := place; at > 0; {
 		at = (at - 1) / fanOut
 		addresses = append(addresses, own[at].Address)
