Take the view of the leaves with the lock of the backends held

Found by reading: changes of the catalog, of the members and two timers each took a view first and the lock then, so that an older view could be put back over a newer one until the next change. A node would have called a leaf that drains, or missed one that came.

The backends ask for the latest view themselves. Test red first (an older view is left).

--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -51,6 +51,9 @@
 	byName  atomic.Pointer[map[string]*backend]
 	// settled is set once the node has had time to learn of its peers.
 	settled atomic.Bool
+	// latest returns the view of the catalog. It is called with mu held, so that of
+	// updates at the same time none brings an older view back.
+	latest func() *catalog.View
 	// mu serializes updates and guards view, the last one taken.
 	mu   sync.Mutex
 	view *catalog.View
@@ -69,9 +72,9 @@
 	repeats *budget.Window
 }
 
-// NewBackends returns backends without services.
-func NewBackends(o Options, fleet *Fleet, logger *zap.Logger) *Backends {
-	b := &Backends{options: o, logger: logger, start: time.Now()}
+// NewBackends returns backends without services. latest returns the view of the catalog.
+func NewBackends(o Options, fleet *Fleet, latest func() *catalog.View, logger *zap.Logger) *Backends {
+	b := &Backends{options: o, latest: latest, logger: logger, start: time.Now()}
 	b.fleet.Store(fleet)
 	b.byName.Store(&map[string]*backend{})
 	return b
@@ -81,33 +84,34 @@
 
 func (b *Backends) get(service string) *backend { return (*b.byName.Load())[service] }
 
-// SetFleet takes the nodes that share the bounds, and a view. A node that is suspected or
-// cleared changes neither.
-func (b *Backends) SetFleet(fleet *Fleet, view *catalog.View) {
+// SetFleet takes the nodes that share the bounds. A node that is suspected or cleared
+// changes nothing.
+func (b *Backends) SetFleet(fleet *Fleet) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if view == b.view && fleet.equal(b.fleet.Load()) {
+	if b.latest() == b.view && fleet.equal(b.fleet.Load()) {
 		return
 	}
 	b.fleet.Store(fleet)
-	b.update(view)
+	b.update()
 }
 
 // Settle tells that the peers known by now are those that share the bounds.
-func (b *Backends) Settle(view *catalog.View) {
+func (b *Backends) Settle() {
 	b.settled.Store(true)
-	b.Update(view)
+	b.Update()
 }
 
-// Update takes a new view of the leaves.
-func (b *Backends) Update(view *catalog.View) {
+// Update takes the latest view of the leaves.
+func (b *Backends) Update() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.update(view)
+	b.update()
 }
 
 // update needs mu.
-func (b *Backends) update(view *catalog.View) {
+func (b *Backends) update() {
+	view := b.latest()
 	b.view = view
 	old := *b.byName.Load()
 	next := make(map[string]*backend, len(view.Leaves))
--- a/internal/relay/backend_bench_test.go
+++ b/internal/relay/backend_bench_test.go
@@ -37,10 +37,11 @@
 		f := leafpick.NewFleet(names[0], names[:n])
 		return &Fleet{All: f, Gatherers: f}
 	}
-	backends := NewBackends(Options{Zone: "other", RepeatWindow: time.Second}, fleet(nodes), zap.NewNop())
-	backends.Update(view)
+	backends := NewBackends(Options{Zone: "other", RepeatWindow: time.Second}, fleet(nodes),
+		func() *catalog.View { return view }, zap.NewNop())
+	backends.Update()
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		backends.SetFleet(fleet(nodes-i%2), view)
+		backends.SetFleet(fleet(nodes - i%2))
 	}
 }
--- /dev/null
+++ b/internal/relay/backend_test.go
@@ -0,0 +1,39 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/redwingshelf/redwingshelf/internal/catalog"
+	"github.com/redwingshelf/redwingshelf/internal/leafpick"
+)
+
+// TestUpdatesBringNoOlderViewBack updates from several goroutines, as changes of the
+// catalog, of the members and timers do.
+func TestUpdatesBringNoOlderViewBack(t *testing.T) {
+	const maxYield = int(50 * time.Microsecond)
+	var newest atomic.Pointer[catalog.View]
+	latest := func() *catalog.View {
+		view := newest.Load()
+		time.Sleep(time.Duration(rand.IntN(maxYield)))
+		return view
+	}
+	all := leafpick.NewFleet("n", []string{"n"})
+	b := NewBackends(Options{RepeatWindow: time.Second}, &Fleet{All: all, Gatherers: all}, latest, zap.NewNop())
+	for round := range 300 {
+		var wg sync.WaitGroup
+		for i := range 4 {
+			newest.Store(&catalog.View{AsOf: uint64(4*round + i + 1)})
+			wg.Go(b.Update)
+			time.Sleep(time.Duration(rand.IntN(maxYield)))
+		}
+		wg.Wait()
+		require.Same(t, newest.Load(), b.view)
+	}
+}
--- a/internal/relay/connections_test.go
+++ b/internal/relay/connections_test.go
@@ -60,8 +60,9 @@
 	kept := map[string]int{}
 	for _, self := range names {
 		all := leafpick.NewFleet(self, names)
-		b := NewBackends(Options{Zone: "other", RepeatWindow: time.Second}, &Fleet{All: all, Gatherers: all}, zap.NewNop())
-		b.Update(view)
+		b := NewBackends(Options{Zone: "other", RepeatWindow: time.Second}, &Fleet{All: all, Gatherers: all},
+			func() *catalog.View { return view }, zap.NewNop())
+		b.Update()
 		homes := 0
 		for id, p := range b.get("s").pools {
 			if p.pool.State().Kept {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -60,7 +60,7 @@
 		}
 	}
 	backends := relay.NewBackends(relay.Options{Zone: "here", RepeatShare: 3, RepeatSlack: 100, RepeatWindow: 10 * time.Second},
-		alone(), zap.NewNop())
+		alone(), s.catalog.View, zap.NewNop())
 	handler := relay.NewHandler(relay.HandlerOptions{
 		CallerMargin: func(context.Context) time.Duration { return time.Millisecond },
 		TellLoss:     func(l quarantine.Loss) { s.told = append(s.told, l) },
@@ -68,7 +68,7 @@
 		reqlog.New(zap.NewNop(), tally.NoopScope, time.Now), tally.NoopScope)
 	s.handler, s.backends = handler, backends
 	s.catalog.Replace(0, snapshot)
-	backends.Settle(s.catalog.View())
+	backends.Settle()
 	s.server = httptest.NewServer(handler)
 	t.Cleanup(s.server.Close)
 	return s
@@ -335,7 +335,7 @@
 	s.catalog.Merge(0, []catalog.Change{{Key: "s1-0", Revision: 2, Leaf: &catalog.Leaf{
 		ID: "s1-0", Service: "s1", Address: s.leaves["s1"][0].Address, Zone: "here", Slots: 4, Sequence: 1, WarmupLeft: time.Minute,
 	}}}, 2)
-	s.backends.Update(s.catalog.View())
+	s.backends.Update()
 	got := s.do(http.MethodGet, "/all/x", "")
 	assert.Equal(t, 503, got.status)
 	assert.NotEmpty(t, got.header.Get("Retry-After"))
@@ -441,7 +441,7 @@
 					ID: id, Service: "s", Address: leaf.Address, Zone: "here", Slots: 4, Sequence: int64(revision),
 				}}}, revision)
 			}
-			s.backends.Update(s.catalog.View())
+			s.backends.Update()
 		}
 	})
 	for range 40 {
--- a/internal/relaynode/fleet.go
+++ b/internal/relaynode/fleet.go
@@ -48,7 +48,7 @@
 	}
 	n.alive.Store(&addresses)
 	n.sharing.set(sharing)
-	n.shareBounds(n.catalog.View())
+	n.shareBounds()
 }
 
 func (n *Node) selfMember() member.Member {
--- a/internal/relaynode/node.go
+++ b/internal/relaynode/node.go
@@ -100,7 +100,7 @@
 	n.backends = relay.NewBackends(relay.Options{
 		Zone: s.Zone, RepeatShare: s.RepeatShare, RepeatSlack: s.RepeatSlack, RepeatWindow: s.RepeatWindow,
 		ColdShare: s.ColdShare, ColdSlack: s.ColdSlack,
-	}, alone(n.process), n.logger)
+	}, alone(n.process), n.catalog.View, n.logger)
 	log := reqlog.New(n.logger, n.scope, time.Now)
 	n.handler = relay.NewHandler(relay.HandlerOptions{CallerMargin: callerMargin, OnceMaxIdle: onceMaxIdle, TellLoss: n.tellLoss},
 		d, n.catalog, n.backends, n, log, n.scope.SubScope("relay"))
@@ -163,10 +163,9 @@
 func (n *Node) catalogChanged() {
 	view := n.catalog.View()
 	if n.sharing.setRoom(relay.GatherRoom(view)) {
-		n.shareBounds(view)
-	} else {
-		n.backends.Update(view)
+		n.shareBounds()
 	}
+	n.backends.Update()
 	if view.Table != nil && len(view.Leaves) > 0 && !n.isReady.Swap(true) {
 		n.logger.Info("node ready", zap.Int64("version", view.Table.Version), zap.Uint64("as_of", view.AsOf))
 	}
@@ -203,12 +202,12 @@
 	group.Go(func() error { n.reportGauges(groupCtx); return nil })
 	group.Go(func() error { n.runLosses(groupCtx); return nil })
 	settle := time.AfterFunc(settleTime, func() {
-		n.backends.Settle(n.catalog.View())
+		n.backends.Settle()
 		n.logger.Info("part of the shared bounds taken")
 	})
 	defer settle.Stop()
 	// A process that is older than the window takes its whole part.
-	full := time.AfterFunc(n.settings.RepeatWindow, func() { n.backends.Update(n.catalog.View()) })
+	full := time.AfterFunc(n.settings.RepeatWindow, n.backends.Update)
 	defer full.Stop()
 	group.Go(func() error {
 		defer cancel()
--- a/internal/relaynode/sharing.go
+++ b/internal/relaynode/sharing.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/redwingshelf/redwingshelf/internal/catalog"
 	"github.com/redwingshelf/redwingshelf/internal/leafpick"
 	"github.com/redwingshelf/redwingshelf/internal/member"
 	"github.com/redwingshelf/redwingshelf/internal/relay"
@@ -53,21 +52,21 @@
 }
 
 // shareBounds shares the bounds of leaves out among the nodes.
-func (n *Node) shareBounds(view *catalog.View) {
+func (n *Node) shareBounds() {
 	n.sharing.order.Lock()
 	defer n.sharing.order.Unlock()
 	nodes, room := n.sharing.get()
 	fleet, helpers, minShards := shareOut(nodes, room)
 	n.logger.Info("bounds shared out", zap.Int("nodes", len(fleet.All.Names)), zap.Int("gatherers", len(fleet.Gatherers.Names)),
-		zap.Int("room", room), zap.Int("helpers", len(helpers)), zap.Uint64("as_of", view.AsOf))
-	n.backends.SetFleet(fleet, view)
+		zap.Int("room", room), zap.Int("helpers", len(helpers)))
+	n.backends.SetFleet(fleet)
 	n.handler.SetHelpers(helpers, minShards)
 }
 
-// shareOut returns the nodes that share the bounds of leaves, and the peers that gather
-// for the first node, gathers of at least minShards shards. Nodes gather for those of their zone
-// that are much smaller than the largest node and, where there are more nodes than can
-// keep connections to leaves of all shards, for those without.
+// shareOut returns the nodes that share the bounds of leaves, and the peers that make
+// gathers of at least minShards shards for the first node. Nodes gather for those of their
+// zone that are much smaller than the largest node and, where there are more nodes than
+// can keep connections to leaves of all shards, for those without.
 func shareOut(nodes []member.Member, room int) (fleet *relay.Fleet, helpers []relay.Helper, minShards int) {
 	self := &nodes[0]
 	var largest uint32
