Send no call to a process other than the one that gave its slot

It looks for an open connection before a call and asks the leaf for its report if there is none; between that look and the send the connection ended, so that the call opened another one, to the new process.

Each new connection now asks for the report first, and a call names the incarnation by whose bound its slot was granted. Both tests seen red. Ruled out as a mend: a second look, which leaves the same window.

--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -25,7 +25,7 @@
 
 // exchange makes the call of an admitted request and releases its slot once the
 // leaf no longer runs it.
-func (l *leaf) exchange(c *Call, id uint64, permit Permit) wire.LeafResult {
+func (l *leaf) exchange(c *Call, granted slot, permit Permit) wire.LeafResult {
 	deadline := c.Deadline
 	if !permit.CallUntil.IsZero() && permit.CallUntil.Before(deadline) {
 		deadline = permit.CallUntil
@@ -33,19 +33,20 @@
 	epoch := l.epoch()
 	begin := time.Now()
 	answer, err := l.caller.Call(context.Background(), &target.Request{
-		ID:         c.ID,
-		Customer:   c.Customer,
-		Service:    c.Service,
-		Class:      c.Class,
-		Leaf:       c.Leaf,
-		Snapshot:   c.Snapshot,
-		Idempotent: c.Idempotent,
-		Deadline:   deadline,
-		Body:       c.Body,
+		ID:          c.ID,
+		Customer:    c.Customer,
+		Service:     c.Service,
+		Class:       c.Class,
+		Leaf:        c.Leaf,
+		Snapshot:    c.Snapshot,
+		Idempotent:  c.Idempotent,
+		Deadline:    deadline,
+		Body:        c.Body,
+		Incarnation: granted.incarnation,
 	})
 	latency := time.Since(begin)
 	if err != nil {
-		result := l.fail(c, id, epoch, begin, deadline, err)
+		result := l.fail(c, granted.id, epoch, begin, deadline, err)
 		l.reportDeath(c, &result)
 		if result.Run == string(kind.RunNo) {
 			l.holder.returnPermit(c)
@@ -53,7 +54,7 @@
 		l.holder.countCall(result.Kind)
 		return result
 	}
-	warm, busy := l.succeed(id, epoch, latency, answer)
+	warm, busy := l.succeed(granted.id, epoch, latency, answer)
 	l.holder.countCall("ok")
 	if c.Permit != nil {
 		l.holder.screen.EndTrial(*c.Permit, quarantine.TrialCompleted)
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -184,13 +184,13 @@
 // Call makes one leaf call. When ctx ends it returns at once and the leaf is
 // asked to cancel; the slot stays in use until the leaf has ended the work.
 func (h *Holder) Call(ctx context.Context, c *Call) wire.LeafResult {
-	l, id, permit, err := h.admit(ctx, c)
+	l, granted, permit, err := h.admit(ctx, c)
 	if err != nil {
 		return h.refusedBeforeSend(c, err)
 	}
 	done := make(chan wire.LeafResult, 1)
-	if !h.tasks.Go(func() { done <- l.exchange(c, id, permit) }) {
-		l.settle(id)
+	if !h.tasks.Go(func() { done <- l.exchange(c, granted, permit) }) {
+		l.settle(granted.id)
 		h.returnPermit(c)
 		return refused(c, errStopping)
 	}
@@ -222,32 +222,32 @@
 }
 
 // admit waits for a slot and checks again once it has one.
-func (h *Holder) admit(ctx context.Context, c *Call) (*leaf, uint64, Permit, error) {
+func (h *Holder) admit(ctx context.Context, c *Call) (*leaf, slot, Permit, error) {
 	permit, err := h.check(c)
 	if err != nil {
-		return nil, 0, Permit{}, err
+		return nil, slot{}, Permit{}, err
 	}
 	l, err := h.leaf(c.Leaf)
 	if err != nil {
-		return nil, 0, Permit{}, err
+		return nil, slot{}, Permit{}, err
 	}
-	id, err := l.acquire(ctx, c, permit)
+	granted, err := l.acquire(ctx, c, permit)
 	if err != nil {
-		return nil, 0, Permit{}, err
+		return nil, slot{}, Permit{}, err
 	}
-	if id, err = l.confirm(ctx, c, permit, id); err != nil {
-		return nil, 0, Permit{}, err
+	if granted, err = l.confirm(ctx, c, permit, granted); err != nil {
+		return nil, slot{}, Permit{}, err
 	}
 	permit, begun := h.permits.Begin(c.Leaf)
 	if !begun {
-		l.release(id)
-		return nil, 0, Permit{}, kind.Errorf(kind.NotHolder, "this host may use no slot of leaf %q now", c.Leaf)
+		l.release(granted.id)
+		return nil, slot{}, Permit{}, kind.Errorf(kind.NotHolder, "this host may use no slot of leaf %q now", c.Leaf)
 	}
 	if err := h.checkSend(c); err != nil {
-		l.settle(id)
-		return nil, 0, Permit{}, err
+		l.settle(granted.id)
+		return nil, slot{}, Permit{}, err
 	}
-	return l, id, permit, nil
+	return l, granted, permit, nil
 }
 
 // Held returns what is known of the snapshots that leaves hold, asking a leaf
--- a/internal/holder/leaf.go
+++ b/internal/holder/leaf.go
@@ -35,7 +35,7 @@
 	permit    Permit
 	nextID    uint64
 	// waiting holds a channel for each queued call.
-	waiting map[uint64]chan kind.Kind
+	waiting map[uint64]chan outcome
 	// unsettled holds the calls whose end the leaf has not confirmed.
 	unsettled map[uint64]*time.Timer
 	// probing is set while the leaf is asked whether its process has ended.
@@ -71,8 +71,20 @@
 	closeInterval = 10 * time.Millisecond
 )
 
-// started is sent to a waiting call that now holds a slot.
-const started = kind.Kind(255)
+// slot is the right to run one call.
+type slot struct {
+	id uint64
+	// incarnation is the process of the leaf whose bound was judged by; empty if none
+	// was known.
+	incarnation string
+}
+
+// outcome tells a waiting call that it holds a slot, or why it was refused.
+type outcome struct {
+	started bool
+	slot    slot
+	refused kind.Kind
+}
 
 func newLeaf(entry *document.LeafEntry, address string, caller target.Caller, h *Holder) *leaf {
 	limits := entry.Service.Limits
@@ -84,7 +96,7 @@
 		entry:     entry,
 		scheduler: admission.New(admission.Config{Classes: len(entry.Service.Policy.Classes)}),
 		tracker:   warmup.New(h.now(), warmup.Config{ColdSlots: limits.ColdSlots, WarmAfter: limits.WarmAfter}),
-		waiting:   map[uint64]chan kind.Kind{},
+		waiting:   map[uint64]chan outcome{},
 		unsettled: map[uint64]*time.Timer{},
 	}
 	l.tracker.SetLeaving(h.now(), warmup.Document, !entry.AcceptsWork())
@@ -120,43 +132,43 @@
 }
 
 // acquire waits until the call holds a slot. The caller must release it.
-func (l *leaf) acquire(ctx context.Context, c *Call, permit Permit) (uint64, error) {
-	id, wait, err := l.submit(c, permit)
+func (l *leaf) acquire(ctx context.Context, c *Call, permit Permit) (slot, error) {
+	granted, wait, err := l.submit(c, permit)
 	if err != nil || wait == nil {
-		return id, err
+		return granted, err
 	}
 	select {
-	case k := <-wait:
-		if k != started {
-			return 0, kind.Errorf(k, "call to leaf %q left the queue", l.name)
+	case o := <-wait:
+		if !o.started {
+			return slot{}, kind.Errorf(o.refused, "call to leaf %q left the queue", l.name)
 		}
-		return id, nil
+		return o.slot, nil
 	case <-ctx.Done():
-		l.abandon(id, wait)
-		return 0, kind.Errorf(kind.Unavailable, "call to leaf %q was canceled in the queue", l.name)
+		l.abandon(granted.id, wait)
+		return slot{}, kind.Errorf(kind.Unavailable, "call to leaf %q was canceled in the queue", l.name)
 	}
 }
 
 // confirm asks a leaf without an open connection for its report before a call,
 // since it may have restarted unseen. It returns the slot of the call, another one
 // if the leaf is found cold.
-func (l *leaf) confirm(ctx context.Context, c *Call, permit Permit, id uint64) (uint64, error) {
+func (l *leaf) confirm(ctx context.Context, c *Call, permit Permit, granted slot) (slot, error) {
 	if open, _ := l.caller.Counts(); open > 0 {
-		return id, nil
+		return granted, nil
 	}
 	before := l.epoch()
 	pollCtx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	l.poll(pollCtx)
 	if l.epoch() == before {
-		return id, nil
+		return granted, nil
 	}
-	l.release(id)
+	l.release(granted.id)
 	return l.acquire(ctx, c, permit)
 }
 
 // submit asks the scheduler. A non-nil channel means that the call is queued.
-func (l *leaf) submit(c *Call, permit Permit) (uint64, chan kind.Kind, error) {
+func (l *leaf) submit(c *Call, permit Permit) (slot, chan outcome, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.holder.now()
@@ -164,7 +176,7 @@
 	bound := l.tracker.Bound(now)
 	l.dispatch(l.scheduler.SetSlots(now, bound))
 	if bound == 0 {
-		return 0, nil, l.noSlots(now)
+		return slot{}, nil, l.noSlots(now)
 	}
 	l.nextID++
 	id := l.nextID
@@ -178,17 +190,20 @@
 	l.refuse(decision.Refused)
 	switch decision.Verdict {
 	case admission.Start:
-		return id, nil, nil
+		return l.slot(id), nil, nil
 	case admission.Queued:
-		wait := make(chan kind.Kind, 1)
+		wait := make(chan outcome, 1)
 		l.waiting[id] = wait
 		l.armExpiry(now)
-		return id, wait, nil
+		return slot{id: id}, wait, nil
 	default:
-		return 0, nil, kind.Errorf(decision.Kind, "leaf %q has no room in time", l.name)
+		return slot{}, nil, kind.Errorf(decision.Kind, "leaf %q has no room in time", l.name)
 	}
 }
 
+// slot needs mu. It returns the slot of a call that starts now.
+func (l *leaf) slot(id uint64) slot { return slot{id: id, incarnation: l.report.Incarnation} }
+
 func (l *leaf) noSlots(now time.Duration) error {
 	if l.tracker.State(now) == warmup.Leaving {
 		return kind.Errorf(kind.LeafLeaving, "leaf %q is leaving", l.name)
@@ -213,7 +228,7 @@
 }
 
 // abandon gives a queued call up, or the slot that it has just received.
-func (l *leaf) abandon(id uint64, wait chan kind.Kind) {
+func (l *leaf) abandon(id uint64, wait chan outcome) {
 	l.mu.Lock()
 	queued := l.scheduler.Cancel(id)
 	delete(l.waiting, id)
@@ -221,7 +236,7 @@
 	if queued {
 		return
 	}
-	if k := <-wait; k == started {
+	if o := <-wait; o.started {
 		l.release(id)
 	}
 }
@@ -256,21 +271,21 @@
 // dispatch needs mu. It wakes the calls that the scheduler has decided on.
 func (l *leaf) dispatch(b admission.Batch) {
 	for _, item := range b.Start {
-		l.wake(item.ID, started)
+		l.wake(item.ID, outcome{started: true, slot: l.slot(item.ID)})
 	}
 	l.refuse(b.Refused)
 }
 
 func (l *leaf) refuse(refused []admission.Refusal) {
 	for _, r := range refused {
-		l.wake(r.ID, r.Kind)
+		l.wake(r.ID, outcome{refused: r.Kind})
 	}
 }
 
-func (l *leaf) wake(id uint64, k kind.Kind) {
+func (l *leaf) wake(id uint64, o outcome) {
 	if wait := l.waiting[id]; wait != nil {
 		delete(l.waiting, id)
-		wait <- k
+		wait <- o
 	}
 }
 
--- a/internal/holder/leaf_test.go
+++ b/internal/holder/leaf_test.go
@@ -29,12 +29,15 @@
 	// connected reports an open connection.
 	connected bool
 	calls     int
+	// sentTo are the incarnations that the calls were meant for.
+	sentTo []string
 	// err is the failure of each call, if set.
 	err error
 }
 
-func (l *lostLeaf) Call(context.Context, *target.Request) (*target.Answer, error) {
+func (l *lostLeaf) Call(_ context.Context, r *target.Request) (*target.Answer, error) {
 	l.calls++
+	l.sentTo = append(l.sentTo, r.Incarnation)
 	if l.err != nil {
 		return nil, l.err
 	}
@@ -203,6 +206,39 @@
 	})
 }
 
+// turningShare lets something happen between the grant of a slot and the send.
+type turningShare struct {
+	wholeShare
+	onBegin func()
+}
+
+func (s *turningShare) Begin(leaf string) (Permit, bool) {
+	s.onBegin()
+	return s.Permit(leaf), true
+}
+
+// TestCallIsMeantForTheProcessThatGaveItsSlot has a leaf restart, and another call learn of
+// it, after a slot of its warm process was granted. The new process bears one call at once.
+func TestCallIsMeantForTheProcessThatGaveItsSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		caller := &lostLeaf{incarnation: "first", answers: true, connected: true}
+		share := &turningShare{wholeShare: wholeShare{2}, onBegin: func() {}}
+		h := New(share, openScreen{}, oneTarget{caller}, quietLog(), tally.NoopScope)
+		defer h.Close()
+		h.SetIndex(document.NewIndex(oneLeaf()))
+		h.Held(t.Context(), []string{"t1-0"})
+		share.onBegin = func() {
+			caller.incarnation = "second"
+			l, err := h.leaf("t1-0")
+			require.NoError(t, err)
+			require.True(t, l.poll(t.Context()))
+		}
+		call := &Call{Leaf: "t1-0", Deadline: time.Now().Add(time.Second)}
+		h.Call(t.Context(), call)
+		require.Equal(t, []string{"first"}, caller.sentTo)
+	})
+}
+
 // TestLeafThatReturnsIsCold takes a data centre out and back in.
 func TestLeafThatReturnsIsCold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/target/conns.go
+++ b/internal/target/conns.go
@@ -26,6 +26,9 @@
 	pingTimeout = 1 * time.Second
 	// connectTimeout bounds the time to open a connection.
 	connectTimeout = 300 * time.Millisecond
+	// identifyTimeout bounds the time in which a leaf names itself on a new connection,
+	// as that of a probe.
+	identifyTimeout = pingTimeout
 	// callsPerConnection is the number of calls on one connection above which
 	// another one is opened.
 	callsPerConnection = 1
@@ -35,6 +38,8 @@
 type conns struct {
 	address   string
 	transport *http.Transport
+	// identify asks for the report of the leaf at the other end.
+	identify func(context.Context, *http.ClientConn) (Report, error)
 	// mu guards the fields below.
 	mu      sync.Mutex
 	limit   int
@@ -51,6 +56,9 @@
 type conn struct {
 	client *http.ClientConn
 	raw    *countedConn
+	// first is the leaf's report when the connection was opened. It names the process
+	// at the other end for the life of the connection.
+	first Report
 	// silentSince is when the connection was first seen silent; the lock of conns
 	// guards it.
 	silentSince time.Time
@@ -81,12 +89,13 @@
 	return time.Unix(0, c.lastRead.Load())
 }
 
-func newConns(address string, limit int) *conns {
+func newConns(address string, limit int, identify func(context.Context, *http.ClientConn) (Report, error)) *conns {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &conns{
-		address: address,
-		limit:   limit,
+		address:  address,
+		limit:    limit,
+		identify: identify,
 		transport: &http.Transport{
 			Protocols:          protocols,
 			DisableCompression: true,
@@ -173,6 +182,10 @@
 	var raw *countedConn
 	dialCtx := context.WithValue(ctx, rawKey{}, &raw)
 	client, err := c.transport.NewClientConn(dialCtx, "http", c.address)
+	var first Report
+	if err == nil {
+		first, err = c.identified(ctx, client)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.dialing--
@@ -183,11 +196,23 @@
 		_ = client.Close()
 		return nil, kind.Errorf(kind.ConnectFailed, "connections to leaf at %s are closed", c.address)
 	}
-	fresh := &conn{client: client, raw: raw}
+	fresh := &conn{client: client, raw: raw, first: first}
 	c.open = append(c.open, fresh)
 	return fresh, nil
 }
 
+// identified returns the report of the leaf on a new connection, which it closes if there
+// is none.
+func (c *conns) identified(ctx context.Context, client *http.ClientConn) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	report, err := c.identify(ctx, client)
+	if err != nil {
+		_ = client.Close()
+	}
+	return report, err
+}
+
 // sweepLocked drops failed connections and retires silent ones.
 func (c *conns) sweepLocked(now time.Time) {
 	c.retired = keepAfter(c.retired, now)
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -37,7 +37,9 @@
 	if u.Scheme != "http" || u.Host == "" {
 		return nil, fmt.Errorf("leaf address %q is not of the form http://IP:PORT", base)
 	}
-	return &HTTP{base: url.URL{Scheme: "http", Host: u.Host}, conns: newConns(u.Host, connections)}, nil
+	h := &HTTP{base: url.URL{Scheme: "http", Host: u.Host}}
+	h.conns = newConns(u.Host, connections, h.report)
+	return h, nil
 }
 
 // Call implements Caller. It waits for the leaf's own answer past the deadline,
@@ -58,6 +60,9 @@
 	if remaining <= 0 {
 		return nil, deadlinePassed(r)
 	}
+	if r.Incarnation != "" && c.first.Incarnation != "" && c.first.Incarnation != r.Incarnation {
+		return nil, otherProcess(c, r)
+	}
 	response, err := c.client.RoundTrip(h.newRequest(ctx, r, remaining))
 	if err != nil {
 		h.conns.sweep()
@@ -91,6 +96,14 @@
 	return failed(kind.Errorf(kind.DeadlinePassed, "deadline passed before leaf %q was called", r.Leaf))
 }
 
+// otherProcess refuses a call whose leaf has restarted since it was decided on. What the
+// new process bears has to be decided anew.
+func otherProcess(c *conn, r *Request) error {
+	e := failed(kind.Errorf(kind.LeafCold, "leaf %q is incarnation %q now, not %q", r.Leaf, c.first.Incarnation, r.Incarnation))
+	e.Report = c.first
+	return e
+}
+
 func (h *HTTP) newRequest(ctx context.Context, r *Request, remaining time.Duration) *http.Request {
 	u := h.base
 	u.Path = PathRun
@@ -203,23 +216,34 @@
 		return nil, err
 	}
 	defer c.end()
+	report, err := h.report(ctx, c.client)
+	if err != nil {
+		if kind.Of(err) == kind.ConnectionLost {
+			h.conns.sweep()
+		}
+		return nil, err
+	}
+	return &report, nil
+}
+
+// report asks for the report of the leaf at the other end of a connection.
+func (h *HTTP) report(ctx context.Context, client *http.ClientConn) (Report, error) {
 	u := h.base
 	u.Path = PathReport
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
-		return nil, err
+		return Report{}, err
 	}
-	response, err := c.client.RoundTrip(request)
+	response, err := client.RoundTrip(request)
 	if err != nil {
-		h.conns.sweep()
-		return nil, kind.Errorf(kind.ConnectionLost, "ask leaf at %s for its report: %w", u.Host, err)
+		return Report{}, kind.Errorf(kind.ConnectionLost, "ask leaf at %s for its report: %w", u.Host, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	report, err := parseReport(response.Header)
 	if err != nil {
-		return nil, kind.Errorf(kind.BadAnswer, "report of leaf at %s: %w", u.Host, err)
+		return Report{}, kind.Errorf(kind.BadAnswer, "report of leaf at %s: %w", u.Host, err)
 	}
-	return &report, nil
+	return report, nil
 }
 
 // SetConnections implements Caller.
--- a/internal/target/http_test.go
+++ b/internal/target/http_test.go
@@ -98,3 +98,29 @@
 	}, 10*time.Second, time.Millisecond)
 	require.Equal(t, kind.Canceled, kind.Of(<-done))
 }
+
+// TestCallIsNotSentToAnotherProcess restarts a leaf between the decision on a call and
+// its send. The new process is cold, which the caller has not taken into account.
+func TestCallIsNotSentToAnotherProcess(t *testing.T) {
+	leaf, caller := newLeaf(t, standin.LeafOptions{})
+	r := newRequest()
+	r.Incarnation = "1"
+	_, err := caller.Call(context.Background(), r)
+	require.NoError(t, err)
+	leaf.Crash()
+	require.NoError(t, leaf.Restart())
+	require.Eventually(t, func() bool {
+		open, _ := caller.Counts()
+		return open == 0
+	}, 10*time.Second, time.Millisecond)
+	before := leaf.Counts().Requests
+	_, err = caller.Call(context.Background(), r)
+	require.Equal(t, kind.LeafCold, kind.Of(err), "%v", err)
+	var failed *target.CallError
+	require.ErrorAs(t, err, &failed)
+	require.Equal(t, "2", failed.Incarnation)
+	require.Equal(t, before, leaf.Counts().Requests)
+	r.Incarnation = "2"
+	_, err = caller.Call(context.Background(), r)
+	require.NoError(t, err)
+}
--- a/internal/target/types.go
+++ b/internal/target/types.go
@@ -30,6 +30,9 @@
 	Idempotent bool
 	Deadline   time.Time
 	Body       []byte
+	// Incarnation is the process that the call is meant for. The call is not sent to
+	// another one. Empty stands for any.
+	Incarnation string
 }
 
 // Held is a snapshot that a leaf holds, with the key range [From, To) that the
