Choose the nodes that gather for others by zone

Cause: a node of at most half of the fleet's largest capacity had others gather for it, but only those of its own zone. Where all larger nodes are in one zone, none of the other zones gathers, and their nodes open a connection for each call, beyond what leaves take.

A node is compared with the largest of its zone. Where there is room for the connections of fewer nodes than there are zones, a zone without a gatherer turns to all of them.

--- a/internal/relaynode/sharing.go
+++ b/internal/relaynode/sharing.go
@@ -65,17 +65,19 @@
 
 // shareOut returns the nodes that share the bounds of leaves, and the peers that make
 // gathers of at least minShards shards for the first node. Nodes gather for those of their
-// zone that are much smaller than the largest node and, where there are more nodes than
-// can keep connections to leaves of all shards, for those without.
+// zone that are much smaller than its largest node and, where there are more nodes than
+// can keep connections to leaves of all shards, for those without. A zone in which no node
+// gathers turns to all that do.
 func shareOut(nodes []member.Member, room int) (fleet *relay.Fleet, helpers []relay.Helper, minShards int) {
 	self := &nodes[0]
-	var largest uint32
+	largest := map[string]uint32{}
 	for _, m := range nodes {
-		largest = max(largest, m.Record.Capacity)
+		largest[m.DataCentre] = max(largest[m.DataCentre], m.Record.Capacity)
 	}
 	nodes = interleaved(nodes)
 	large := slices.DeleteFunc(slices.Clone(nodes), func(m member.Member) bool {
-		return muchLarger*m.Record.Capacity <= largest && largest > 0
+		most := largest[m.DataCentre]
+		return muchLarger*m.Record.Capacity <= most && most > 0
 	})
 	gatherers := large[:min(len(large), room)]
 	fleet = &relay.Fleet{
@@ -85,16 +87,23 @@
 	if fleet.Gatherers.Shares() {
 		return fleet, nil, 0
 	}
-	for _, m := range gatherers {
-		if m.State == member.Alive && m.DataCentre == self.DataCentre {
-			helpers = append(helpers, relay.Helper{Name: m.Name, Address: m.Address})
-		}
-	}
 	minShards = relay.MinDelegated
 	if slices.Contains(names(large), self.Name) {
 		minShards = 1
 	}
-	return fleet, helpers, minShards
+	return fleet, helpersOf(self.DataCentre, gatherers), minShards
+}
+
+// helpersOf returns the gatherers that a zone turns to.
+func helpersOf(zone string, gatherers []member.Member) []relay.Helper {
+	anyZone := !slices.ContainsFunc(gatherers, func(m member.Member) bool { return m.DataCentre == zone })
+	var helpers []relay.Helper
+	for _, m := range gatherers {
+		if m.State == member.Alive && (anyZone || m.DataCentre == zone) {
+			helpers = append(helpers, relay.Helper{Name: m.Name, Address: m.Address})
+		}
+	}
+	return helpers
 }
 
 // interleaved returns the nodes in an order that all nodes compute alike, with those of
--- a/internal/relaynode/sharing_test.go
+++ b/internal/relaynode/sharing_test.go
@@ -83,3 +83,36 @@
 	}
 	require.Equal(t, map[string]int{"z0": 3, "z1": 3, "z2": 3}, zones)
 }
+
+// TestEachZoneHasHelpers has hosts that are larger in one zone than in the others, and room
+// for a part of the nodes, once for fewer than there are zones. Each node without room has
+// helpers, in its own zone where that has any.
+func TestEachZoneHasHelpers(t *testing.T) {
+	for room, inZone := range map[int]bool{9: true, 2: false} {
+		nodes := hosts(18, 0)
+		for i := range nodes {
+			if nodes[i].DataCentre != "z2" {
+				nodes[i].Record.Capacity = 20
+			}
+		}
+		zones := map[string]string{}
+		for _, m := range nodes {
+			zones[m.Name] = m.DataCentre
+		}
+		for i := range nodes {
+			self := append([]member.Member{nodes[i]}, append(nodes[:i:i], nodes[i+1:]...)...)
+			fleet, helpers, _ := shareOut(self, room)
+			require.Len(t, fleet.Gatherers.Names, room)
+			if slices.Contains(fleet.Gatherers.Names, self[0].Name) {
+				continue
+			}
+			require.NotEmpty(t, helpers, "helpers of %s in %s", self[0].Name, self[0].DataCentre)
+			for _, h := range helpers {
+				require.Contains(t, fleet.Gatherers.Names, h.Name)
+				if inZone {
+					require.Equal(t, self[0].DataCentre, zones[h.Name])
+				}
+			}
+		}
+	}
+}
