Serve waiting requests by the priority of their routes

The priority of a route was decoded and not used: where all connections to a leaf are in use, the newest waiting request went first, whichever its route. The most urgent goes first now, and of equals the newest.

No difference above the noise; it stays because operators rank routes.

--- a/internal/leafconn/exchange.go
+++ b/internal/leafconn/exchange.go
@@ -47,6 +47,9 @@
 	// MaxIdle bounds how long the connection may have been idle before; zero sets
 	// no bound.
 	MaxIdle time.Duration
+	// Priority ranks the request among those that wait for a connection; 0 is the most
+	// urgent.
+	Priority int
 }
 
 // Answer is a complete answer.
@@ -110,7 +113,7 @@
 // Do sends a request once and returns its answer. When ctx ends first, the
 // connection is closed, which tells the leaf to stop. A failure is an *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
-	c, err := p.get(ctx, r.MaxIdle)
+	c, err := p.get(ctx, r)
 	if err != nil {
 		return nil, &Error{Refused: true, Err: fmt.Errorf("connect: %w", err)}
 	}
--- a/internal/leafconn/pool.go
+++ b/internal/leafconn/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,10 +34,17 @@
 	keep    bool
 	open    int
 	idle    []*conn
-	waiters []chan *conn
+	waiters []waiter
 	closed  bool
 }
 
+// waiter is a request that waits for a connection.
+type waiter struct {
+	priority int
+	// got receives a connection, or nil for the room to open one.
+	got chan *conn
+}
+
 // NewPool returns a pool without connections. limit is the greatest number of them.
 // Those that no exchange uses stay open if keep is set.
 func NewPool(address string, limit int, keep bool) *Pool {
@@ -74,7 +82,7 @@
 	}
 	p.idle = nil
 	for _, w := range p.waiters {
-		close(w)
+		close(w.got)
 	}
 	p.waiters = nil
 }
@@ -97,13 +105,13 @@
 }
 
 // get returns a connection that no other exchange uses.
-func (p *Pool) get(ctx context.Context, maxIdle time.Duration) (*conn, error) {
+func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
 	p.mu.Lock()
 	now := time.Now()
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if now.Before(c.usableUntil) && (maxIdle <= 0 || now.Sub(c.idleSince) <= maxIdle) {
+		if now.Before(c.usableUntil) && (r.MaxIdle <= 0 || now.Sub(c.idleSince) <= r.MaxIdle) {
 			p.mu.Unlock()
 			return c, nil
 		}
@@ -118,11 +126,11 @@
 		p.mu.Unlock()
 		return p.dial(ctx)
 	}
-	w := make(chan *conn, 1)
+	w := waiter{priority: r.Priority, got: make(chan *conn, 1)}
 	p.waiters = append(p.waiters, w)
 	p.mu.Unlock()
 	select {
-	case c, ok := <-w:
+	case c, ok := <-w.got:
 		switch {
 		case !ok:
 			return nil, errClosed
@@ -137,7 +145,7 @@
 }
 
 // abandon takes a waiter out, and passes on what it was given meanwhile.
-func (p *Pool) abandon(w chan *conn) {
+func (p *Pool) abandon(w waiter) {
 	p.mu.Lock()
 	for i, other := range p.waiters {
 		if other == w {
@@ -147,7 +155,7 @@
 		}
 	}
 	p.mu.Unlock()
-	c, ok := <-w
+	c, ok := <-w.got
 	switch {
 	case !ok:
 	case c != nil:
@@ -169,16 +177,21 @@
 	return c, nil
 }
 
-// newestWaiter takes out the waiter that came last. Under overload the oldest are late in
-// any case. The pool's lock is held.
-func (p *Pool) newestWaiter() chan *conn {
-	last := len(p.waiters) - 1
-	w := p.waiters[last]
-	p.waiters = p.waiters[:last]
+// nextWaiter takes out the most urgent waiter, and of those the one that came last. Under
+// overload the oldest are late in any case. The pool's lock is held.
+func (p *Pool) nextWaiter() waiter {
+	next := len(p.waiters) - 1
+	for i := next - 1; i >= 0; i-- {
+		if p.waiters[i].priority < p.waiters[next].priority {
+			next = i
+		}
+	}
+	w := p.waiters[next]
+	p.waiters = slices.Delete(p.waiters, next, next+1)
 	return w
 }
 
-// freeRoom ends a reservation; the newest waiter gets it.
+// freeRoom ends a reservation; the next waiter gets it.
 func (p *Pool) freeRoom() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -187,7 +200,7 @@
 
 func (p *Pool) freeRoomLocked() {
 	if len(p.waiters) > 0 && p.open <= p.limit {
-		p.newestWaiter() <- nil
+		p.nextWaiter().got <- nil
 		return
 	}
 	p.open--
@@ -207,7 +220,7 @@
 	c.idleSince = time.Now()
 	c.usableUntil = c.idleSince.Add(c.keep)
 	if len(p.waiters) > 0 {
-		p.newestWaiter() <- c
+		p.nextWaiter().got <- c
 		return
 	}
 	if !p.keep {
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -282,7 +282,7 @@
 	defer a.cancel()
 	r := q.request
 	request := &leafconn.Request{
-		Method: r.method, URI: r.uri, Host: r.host, Body: r.body,
+		Method: r.method, URI: r.uri, Host: r.host, Body: r.body, Priority: r.route.Priority,
 		Header: func() http.Header {
 			header := maps.Clone(r.header)
 			q.handler.dialect.Forward(header, a.pick.ID, time.Until(r.deadline))
