Refuse gathers at once where their shards are saturated

Each shard serves another part of the gathers, and a gather needs nearly all shards.

A gather is refused with 503 before any leaf has it, if at more shards than may be missing every usable leaf has all connections of this node in use and a call would be answered after the answer is due. Less urgent routes first.

--- a/internal/leafconn/pool.go
+++ b/internal/leafconn/pool.go
@@ -65,11 +65,17 @@
 }
 
 // State implements leafpick.Connections.
-func (p *Pool) State() leafpick.ConnState {
+func (p *Pool) State(priority int) leafpick.ConnState {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	idle := len(p.idle) > 0
-	return leafpick.ConnState{Idle: idle, Full: !idle && p.open >= p.limit, Kept: p.keep}
+	state := leafpick.ConnState{Idle: len(p.idle) > 0, Kept: p.keep, Limit: p.limit}
+	state.Full = !state.Idle && p.open >= p.limit
+	for _, w := range p.waiters {
+		if w.priority <= priority {
+			state.Waiting++
+		}
+	}
+	return state
 }
 
 // Close ends all idle connections and, after their exchanges, all others.
--- a/internal/leafpick/group.go
+++ b/internal/leafpick/group.go
@@ -96,6 +96,24 @@
 	return false
 }
 
+// Saturated reports whether at each leaf that may be used all connections are in use, and
+// a call that waits for one would be answered later than within. It is false if no leaf
+// may be used.
+func (g *Group) Saturated(now time.Duration, ask Ask, within time.Duration, fleet *Fleet) bool {
+	saturated := false
+	for _, l := range g.leaves {
+		if l.ejected || l.cold(now) && !g.mayUseCold(now, l, fleet) {
+			continue
+		}
+		l.decay(now)
+		if !l.saturated(ask.Mean, within, ask.Priority) {
+			return false
+		}
+		saturated = true
+	}
+	return saturated
+}
+
 // Ask describes the call that a leaf is wanted for.
 type Ask struct {
 	// Mean is the expected latency of the call.
@@ -107,6 +125,9 @@
 	Once bool
 	// Extra is set for a hedge, which is sent only where it can help.
 	Extra bool
+	// Priority ranks the call among those that wait for a connection; 0 is the most
+	// urgent.
+	Priority int
 }
 
 // Begin chooses a leaf and counts a call to it. It returns nil if no leaf may be
@@ -169,7 +190,7 @@
 
 func (g *Group) cost(now time.Duration, l *Leaf, ask Ask, random float64) float64 {
 	mean := float64(ask.Mean)
-	cost := l.expected(ask.Mean)*(1+failCost*l.failing) + l.connCost(ask.Mean)
+	cost := l.expected(ask.Mean)*(1+failCost*l.failing) + l.connCost(ask.Mean, ask.Priority)
 	if l.Entry.Zone != g.options.Zone {
 		cost += farCost * mean * (1 + tieBreak(l.Entry.ID, random))
 	}
--- a/internal/leafpick/group_test.go
+++ b/internal/leafpick/group_test.go
@@ -203,10 +203,20 @@
 	assert.Zero(t, g.Census(0).Ejected)
 }
 
-type conns struct{ idle, full, guest bool }
+type conns struct {
+	idle, full, guest bool
+	// waiting are the priorities of the requests that wait.
+	waiting []int
+}
 
-func (c conns) State() leafpick.ConnState {
-	return leafpick.ConnState{Idle: c.idle, Full: c.full, Kept: !c.guest}
+func (c conns) State(priority int) leafpick.ConnState {
+	state := leafpick.ConnState{Idle: c.idle, Full: c.full, Kept: !c.guest, Limit: 2}
+	for _, p := range c.waiting {
+		if p <= priority {
+			state.Waiting++
+		}
+	}
+	return state
 }
 
 // TestLeafWithoutKeptConnectionIsUsedLast keeps no connection to one of two leaves. It is
@@ -229,3 +239,50 @@
 	g.SetConnections(func(id string) leafpick.Connections { return conns{idle: id == "l0", full: id == "l1"} })
 	assert.Equal(t, "l0", begin(g, 0).Leaf.Entry.ID)
 }
+
+// TestSaturated asks whether a call of 10 ms could be answered in time. Each leaf takes two
+// calls at once.
+func TestSaturated(t *testing.T) {
+	full := conns{full: true}
+	queued := conns{full: true, waiting: []int{1, 1, 1}}
+	for _, c := range []struct {
+		name     string
+		leaves   []conns
+		within   time.Duration
+		priority int
+		want     bool
+	}{
+		{"a connection is free", []conns{{idle: true}}, time.Millisecond, 1, false},
+		{"one may be opened", []conns{{}}, time.Millisecond, 1, false},
+		{"the next that ends is in time", []conns{full}, 25 * time.Millisecond, 1, false},
+		{"the next that ends is too late", []conns{full}, 12 * time.Millisecond, 1, true},
+		{"others wait", []conns{queued}, 20 * time.Millisecond, 1, true},
+		{"others that wait are less urgent", []conns{queued}, 20 * time.Millisecond, 0, false},
+		{"another leaf has room", []conns{queued, {}}, 12 * time.Millisecond, 1, false},
+		{"no leaf has room", []conns{queued, full}, 12 * time.Millisecond, 1, true},
+		{"no leaf", nil, 12 * time.Millisecond, 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGroup(entries("here", "far")[:len(c.leaves)])
+			g.SetConnections(func(id string) leafpick.Connections { return c.leaves[int(id[1]-'0')] })
+			ask := leafpick.Ask{Mean: mean, Priority: c.priority}
+			assert.Equal(t, c.want, g.Saturated(0, ask, c.within, alone))
+		})
+	}
+}
+
+// TestSlowLeavesAreSaturatedSooner lets calls take five times as long as expected.
+func TestSlowLeavesAreSaturatedSooner(t *testing.T) {
+	g := newGroup(entries("here"))
+	g.SetConnections(func(string) leafpick.Connections { return conns{full: true} })
+	ask := leafpick.Ask{Mean: mean}
+	assert.False(t, g.Saturated(0, ask, 5*mean, alone))
+	now := time.Duration(0)
+	for range 10 {
+		c := begin(g, now)
+		now += 5 * mean
+		g.End(now, c, leafpick.Answered)
+	}
+	assert.True(t, g.Saturated(now, ask, 5*mean, alone))
+	assert.False(t, g.Saturated(now+time.Minute, ask, 5*mean, alone))
+}
--- a/internal/leafpick/leaf.go
+++ b/internal/leafpick/leaf.go
@@ -42,7 +42,8 @@
 
 // Connections tells what connections to a leaf are there.
 type Connections interface {
-	State() ConnState
+	// State returns the state for a request of a priority.
+	State(priority int) ConnState
 }
 
 // ConnState is the state of the connections of this node to a leaf.
@@ -53,6 +54,11 @@
 	Full bool
 	// Kept says that a connection is kept after use. Others are opened for one call.
 	Kept bool
+	// Limit is the greatest number of connections.
+	Limit int
+	// Waiting is the number of requests of at least the same urgency that wait for a
+	// connection.
+	Waiting int
 }
 
 // Call is one call in flight.
@@ -120,11 +126,11 @@
 }
 
 // connCost returns the expected wait for a connection.
-func (l *Leaf) connCost(mean time.Duration) float64 {
+func (l *Leaf) connCost(mean time.Duration, priority int) float64 {
 	if l.conns == nil {
 		return 0
 	}
-	state := l.conns.State()
+	state := l.conns.State(priority)
 	cost := 0.0
 	if !state.Kept {
 		cost = guestCost * float64(mean)
@@ -138,6 +144,23 @@
 	return cost
 }
 
+// saturated reports whether all connections to the leaf are in use, and a call that waits
+// for one is expected to be answered later than within.
+func (l *Leaf) saturated(mean, within time.Duration, priority int) bool {
+	if l.conns == nil {
+		return false
+	}
+	state := l.conns.State(priority)
+	if !state.Full {
+		return false
+	}
+	answer := float64(mean) * l.ratio
+	// Calls that have begun at random times leave n connections one after the other, each
+	// after a part 1/(n+1) of a call.
+	wait := answer * float64(1+state.Waiting) / float64(1+state.Limit)
+	return wait+answer > float64(within)
+}
+
 // eject leaves the leaf out, each time in a row for longer.
 func (l *Leaf) eject(now time.Duration) {
 	l.leaveOut(now, min(max(2*l.ejectFor, minEject), maxEject))
--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -228,3 +228,11 @@
 	defer s.mu.Unlock()
 	return s.group.Callable(s.owner.now(), s.sharers)
 }
+
+// saturated reports whether a call that begins now would wait for others at each leaf, and
+// be answered later than within.
+func (s *backend) saturated(ask leafpick.Ask, within time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.group.Saturated(s.owner.now(), ask, within, s.sharers)
+}
--- a/internal/relay/connections_test.go
+++ b/internal/relay/connections_test.go
@@ -65,7 +65,7 @@
 		b.Update()
 		homes := 0
 		for id, p := range b.get("s").pools {
-			if p.pool.State().Kept {
+			if p.pool.State(0).Kept {
 				kept[id]++
 				homes++
 			}
--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -77,7 +77,7 @@
 		Version: r.view.Table.Version, Left: time.Until(r.deadline) - hopMargin, Within: within,
 	})
 	h.helpers.end(helper, gather, time.Now(), err == nil)
-	if err == nil && (answer.Failed == "" || answer.Ran) {
+	if err == nil && (answer.Failed == "" || answer.Ran || answer.Failed == kind.Overloaded.String()) {
 		return answer
 	}
 	if err == nil {
--- a/internal/relay/delegate_test.go
+++ b/internal/relay/delegate_test.go
@@ -55,6 +55,9 @@
 		{"peer has failed after a run", func(context.Context, *relay.GatherCall) (*relay.GatherAnswer, bool, error) {
 			return &relay.GatherAnswer{Failed: kind.CoverageTooLow.String(), Text: "4 of 12", Ran: true}, true, nil
 		}, leaves, 502, ""},
+		{"peer is overloaded", func(context.Context, *relay.GatherCall) (*relay.GatherAnswer, bool, error) {
+			return &relay.GatherAnswer{Failed: kind.Overloaded.String(), Text: "no room in time"}, true, nil
+		}, leaves, 503, ""},
 		{"link lost and no leaf", func(context.Context, *relay.GatherCall) (*relay.GatherAnswer, bool, error) {
 			return nil, true, errLink
 		}, nil, 502, ""},
@@ -73,7 +76,7 @@
 				assert.Equal(t, c.body, got.body)
 			}
 			assert.Less(t, got.took, 3*time.Second)
-			if got.status == 502 || c.name == "peer answers" {
+			if got.status == 502 || c.name == "peer answers" || c.name == "peer is overloaded" {
 				for _, list := range s.leaves {
 					assert.Empty(t, list[0].Requests(), "the peer may have used up the attempts")
 				}
--- /dev/null
+++ b/internal/relay/overload_test.go
@@ -0,0 +1,75 @@
+package relay_test
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingshelf/redwingshelf/internal/catalog"
+	"github.com/redwingshelf/redwingshelf/internal/relay"
+	"github.com/redwingshelf/redwingshelf/internal/relay/relaytest"
+)
+
+// TestGatherIsRefusedAtOnceWhereLeavesAreSaturated has leaves that answer after the route's
+// objective, and as many gathers as there are connections. One more is refused before any
+// leaf gets it; once the others have ended, the next is served.
+func TestGatherIsRefusedAtOnceWhereLeavesAreSaturated(t *testing.T) {
+	const (
+		slow      = 60 * time.Millisecond
+		objective = 50 * time.Millisecond
+		conns     = 6
+	)
+	release := make(chan struct{})
+	var hold sync.Once
+	held := make(chan struct{}, 2*conns)
+	answer := func(c net.Conn, r *http.Request) bool {
+		if r.URL.Path == "/all/held" {
+			held <- struct{}{}
+			<-release
+		} else {
+			time.Sleep(slow)
+		}
+		return relaytest.Answer(200, "sig-"+r.Header.Get(relaytest.HeaderLeaf), rec("x"))(c, r)
+	}
+	defer hold.Do(func() { close(release) })
+	routes := []*catalog.Route{{
+		Name: "all", Host: "shop.example", Prefix: "/all/", Idempotent: true, Timeout: 2 * time.Second,
+		Objective: objective, MaxAttempts: 1, Shards: []string{"a", "b"}, TopK: 2, MinCoverage: 1,
+	}}
+	s := newSite(t, routes, map[string][]relaytest.Script{"a": {answer}, "b": {answer}})
+	for range 20 {
+		require.Equal(t, 200, s.do("GET", "/all/x", "").status, "late answers are delivered")
+	}
+	var wg sync.WaitGroup
+	for range conns {
+		wg.Go(func() { _ = s.handler.ServeGather(t.Context(), gatherCall("/all/held")) })
+	}
+	for range 2 * conns {
+		<-held
+	}
+	before := len(s.leaves["a"][0].Requests())
+	refused := s.do("GET", "/all/x", "")
+	assert.Equal(t, 503, refused.status)
+	assert.NotEmpty(t, refused.header.Get("Retry-After"))
+	assert.Less(t, refused.took, objective)
+	assert.Len(t, s.leaves["a"][0].Requests(), before)
+	peer := s.handler.ServeGather(t.Context(), gatherCall("/all/x"))
+	assert.Equal(t, "overloaded", peer.Failed)
+	assert.False(t, peer.Ran)
+	hold.Do(func() { close(release) })
+	wg.Wait()
+	require.Equal(t, 200, s.do("GET", "/all/x", "").status)
+}
+
+// gatherCall is a gather that a peer asks for.
+func gatherCall(path string) *relay.GatherCall {
+	return &relay.GatherCall{
+		ID: "peer-1", Method: "GET", URI: path, Host: "shop.example", Header: http.Header{relaytest.HeaderID: {"peer-1"}},
+		Version: 1, Left: 2 * time.Second, Within: 50 * time.Millisecond,
+	}
+}
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -98,8 +98,12 @@
 		return kind.Errorf(kind.DeadlinePassed, "only %v are left of the caller's time", left)
 	}
 	if q.request.gathered() {
-		if n := q.callable(); !q.covered(n) {
-			return kind.Errorf(kind.Unavailable, "only %d of %d shards have a leaf that can be used now", n, len(q.calls))
+		callable := q.callable()
+		if !q.covered(callable) {
+			return kind.Errorf(kind.Unavailable, "only %d of %d shards have a leaf that can be used now", callable, len(q.calls))
+		}
+		if inTime := callable - q.saturated(); !q.covered(inTime) {
+			return kind.Errorf(kind.Overloaded, "only %d of %d shards have a leaf that can answer in time", inTime, len(q.calls))
 		}
 	}
 	defer q.cancelRest(ctx)
@@ -163,6 +167,20 @@
 	return n
 }
 
+// saturated returns the number of services at whose leaves a call would wait for others so
+// long that its part comes too late.
+func (q *query) saturated() int {
+	n := 0
+	ask := leafpick.Ask{Mean: q.state.expected(), Priority: q.request.route.Priority}
+	within := time.Until(q.cut)
+	for _, c := range q.calls {
+		if b := q.handler.backends.get(c.service); b != nil && b.saturated(ask, within) {
+			n++
+		}
+	}
+	return n
+}
+
 // covered reports whether n parts are enough for an answer.
 func (q *query) covered(n int) bool {
 	return n > 0 && float64(n) >= q.request.route.MinCoverage*float64(len(q.calls))
@@ -258,7 +276,9 @@
 	if b == nil {
 		return false
 	}
-	ask := leafpick.Ask{Mean: q.state.expected(), Once: !q.request.route.Idempotent, Extra: extra}
+	ask := leafpick.Ask{
+		Mean: q.state.expected(), Once: !q.request.route.Idempotent, Extra: extra, Priority: q.request.route.Priority,
+	}
 	for _, a := range c.attempts {
 		ask.Tried = append(ask.Tried, a.pick.ID)
 	}
