--- a/internal/e2e/coverage_test.go
+++ b/internal/e2e/coverage_test.go
@@ -14,7 +14,7 @@
 var coveragePolicies = []string{document.CoverageDeadline, document.CoverageFull}
 
 // startCoverage starts a fleet with a policy, and load on it.
-func startCoverage(t *testing.T, policy string) (*cluster, *load, *standin.Snapshot) {
+func startCoverage(t *testing.T, policy string, startLoad func(c *cluster, callers int) *load) (*cluster, *load, *standin.Snapshot) {
 	const entries = 300
 	snapshot := standin.NewPartitionedSnapshot("1-first", entries, standin.UnequalBounds(3, 7))
 	doc := smallDocument()
@@ -25,16 +25,22 @@
 		p.MinimumCoverage = 1
 	}
 	c := start(t, 4, doc, standin.LeafOptions{StartWarm: true}, snapshot)
-	load := c.startLoad(2)
+	load := startLoad(c, 2)
 	load.waitAnswers(30)
 	return c, load, snapshot
 }
 
-// TestLostReplicaCostsNoAnswer loses a replica of one shard.
-func TestLostReplicaCostsNoAnswer(t *testing.T) {
+// TestLostReplicaCostsNoAnswer loses a replica of one shard while callers send one request
+// after the other, as fast as they are answered.
+func TestLostReplicaCostsNoAnswer(t *testing.T) { loseReplica(t, (*cluster).startLoad) }
+
+// TestLostReplicaUnderPacedLoad is the same with callers that leave the machine room.
+func TestLostReplicaUnderPacedLoad(t *testing.T) { loseReplica(t, (*cluster).startPacedLoad) }
+
+func loseReplica(t *testing.T, startLoad func(c *cluster, callers int) *load) {
 	for _, policy := range coveragePolicies {
 		t.Run(policy, func(t *testing.T) {
-			c, load, _ := startCoverage(t, policy)
+			c, load, _ := startCoverage(t, policy, startLoad)
 			c.leaves["t1-1"].Crash()
 			load.waitAnswers(30)
 			require.Zero(t, c.countFailed(load), "one replica lost")
@@ -47,7 +53,7 @@
 func TestCoverageIsTrue(t *testing.T) {
 	for _, policy := range coveragePolicies {
 		t.Run(policy, func(t *testing.T) {
-			c, load, snapshot := startCoverage(t, policy)
+			c, load, snapshot := startCoverage(t, policy, (*cluster).startLoad)
 			c.leaves["t1-1"].Crash()
 			load.waitAnswers(30)
 			c.kill(c.nodes[0])
--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -33,6 +33,8 @@
 	build   func(n int64) request
 	sent    atomic.Int64
 	stopped atomic.Bool
+	// interval is the least time between two requests of a caller.
+	interval time.Duration
 	// balanced makes the callers avoid nodes that report that they are not ready.
 	balanced atomic.Bool
 	wg       sync.WaitGroup
@@ -46,11 +48,23 @@
 	return request{path: searchPath + "?limit=1000", body: fmt.Sprintf(`{"text":"entry","number":%d}`, n)}
 }
 
+// pacedInterval leaves the processors of a test's processes idle for most of the time.
+const pacedInterval = 25 * time.Millisecond
+
 // startLoad starts callers that each send one search after the other.
 func (c *cluster) startLoad(callers int) *load { return c.startLoadOf(searchAll, callers) }
 
+// startPacedLoad starts callers that each send a search at intervals.
+func (c *cluster) startPacedLoad(callers int) *load {
+	return c.startCallers(&load{build: searchAll, interval: pacedInterval}, callers)
+}
+
 func (c *cluster) startLoadOf(build func(n int64) request, callers int) *load {
-	l := &load{cluster: c, build: build}
+	return c.startCallers(&load{build: build}, callers)
+}
+
+func (c *cluster) startCallers(l *load, callers int) *load {
+	l.cluster = c
 	nodes := append([]*process(nil), c.nodes...)
 	for i := range callers {
 		l.wg.Go(func() {
@@ -59,7 +73,9 @@
 				if p.frozen.Load() || l.balanced.Load() && !p.isReady() {
 					continue
 				}
+				begin := time.Now()
 				l.add(p.exchange(l.build(l.sent.Add(1))))
+				time.Sleep(l.interval - time.Since(begin))
 			}
 		})
 	}
