Send hedges only to leaves with a free connection

Cause: under a burst hedges went on, and waited for connections behind or before first calls, which came later for it.

--- a/internal/leafpick/group.go
+++ b/internal/leafpick/group.go
@@ -169,6 +169,9 @@
 			}
 			continue
 		}
+		if ask.Extra && l.full(ask.Priority) {
+			continue
+		}
 		cost := g.cost(now, l, ask, random)
 		if best == nil || cost < lowest {
 			best, lowest = l, cost
--- a/internal/leafpick/group_test.go
+++ b/internal/leafpick/group_test.go
@@ -286,3 +286,18 @@
 	assert.True(t, g.Saturated(now, ask, 5*mean, alone))
 	assert.False(t, g.Saturated(now+time.Minute, ask, 5*mean, alone))
 }
+
+// TestHedgeNeedsAFreeConnection has leaves with and without a free connection. A hedge that
+// waits for one comes no sooner than the first call, and takes the place of another.
+func TestHedgeNeedsAFreeConnection(t *testing.T) {
+	g := newGroup(entries("here", "here", "far"))
+	g.SetConnections(func(id string) leafpick.Connections { return conns{full: id != "l2"} })
+	hedge := leafpick.Ask{Mean: mean, Extra: true}
+	c := g.Begin(0, hedge, alone, 0.5)
+	require.NotNil(t, c)
+	assert.Equal(t, "l2", c.ID)
+	hedge.Tried = []string{"l2"}
+	assert.Nil(t, g.Begin(0, hedge, alone, 0.5))
+	hedge.Extra = false
+	assert.NotNil(t, g.Begin(0, hedge, alone, 0.5), "a retry waits")
+}
--- a/internal/leafpick/leaf.go
+++ b/internal/leafpick/leaf.go
@@ -144,6 +144,9 @@
 	return cost
 }
 
+// full reports whether a call would have to wait for a connection.
+func (l *Leaf) full(priority int) bool { return l.conns != nil && l.conns.State(priority).Full }
+
 // saturated reports whether all connections to the leaf are in use, and a call that waits
 // for one is expected to be answered later than within.
 func (l *Leaf) saturated(mean, within time.Duration, priority int) bool {
