Count a node's lag from when an answer could be sent

The lag by which a node writes partial answers late was taken from when the answer was due, also where it had to wait for its coverage after that. Each such answer made the next ones due earlier, up to 40 ms, so that they lacked parts which came in time.

A refusal of a saturated gather logs the time that was left and that of a call.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -243,7 +243,7 @@
 	header["Content-Length"] = []string{strconv.Itoa(len(a.Body))}
 	w.WriteHeader(http.StatusOK)
 	_, err := w.Write(a.Body)
-	if late := time.Since(q.cut); a.Missing > 0 && late > 0 && late < maxLag {
+	if late := time.Since(q.due()); a.Missing > 0 && late > 0 && late < maxLag {
 		h.observeLag(late)
 	}
 	return err
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -39,6 +39,8 @@
 	delegated *GatherAnswer
 	// cut is when a gathered answer is sent without the missing parts.
 	cut time.Time
+	// coveredAt is when the parts that were in became enough for an answer.
+	coveredAt time.Time
 }
 
 // call is the part of a query that goes to one service.
@@ -102,8 +104,10 @@
 		if !q.covered(callable) {
 			return kind.Errorf(kind.Unavailable, "only %d of %d shards have a leaf that can be used now", callable, len(q.calls))
 		}
-		if inTime := callable - q.saturated(); !q.covered(inTime) {
-			return kind.Errorf(kind.Overloaded, "only %d of %d shards have a leaf that can answer in time", inTime, len(q.calls))
+		within := time.Until(q.cut)
+		if inTime := callable - q.saturated(within); !q.covered(inTime) {
+			return kind.Errorf(kind.Overloaded, "only %d of %d shards have a leaf that can answer within %v, where a call takes %v",
+				inTime, len(q.calls), within, q.state.expected())
 		}
 	}
 	defer q.cancelRest(ctx)
@@ -156,6 +160,14 @@
 	return false, nil
 }
 
+// due returns when a gathered answer with missing parts had to be sent.
+func (q *query) due() time.Time {
+	if q.coveredAt.After(q.cut) {
+		return q.coveredAt
+	}
+	return q.cut
+}
+
 // callable returns the number of services that have a leaf which may be called now.
 func (q *query) callable() int {
 	n := 0
@@ -168,11 +180,10 @@
 }
 
 // saturated returns the number of services at whose leaves a call would wait for others so
-// long that its part comes too late.
-func (q *query) saturated() int {
+// long that its part comes later than within.
+func (q *query) saturated(within time.Duration) int {
 	n := 0
 	ask := leafpick.Ask{Mean: q.state.expected(), Priority: q.request.route.Priority}
-	within := time.Until(q.cut)
 	for _, c := range q.calls {
 		if b := q.handler.backends.get(c.service); b != nil && b.saturated(ask, within) {
 			n++
@@ -352,6 +363,9 @@
 	if a.outcome == leafpick.Answered {
 		c.ended, c.answer, c.signed = true, a.answer, a.head.Signature
 		q.answered++
+		if q.coveredAt.IsZero() && q.covered(q.answered) {
+			q.coveredAt = time.Now()
+		}
 		return
 	}
 	c.last = a
