Take three quarters of the time left for the expected answer of a saturated leaf

Cause: since the lag is counted rightly, gathers were admitted whose mean part was expected just in time; the slowest of ten decides.

--- a/internal/leafpick/leaf.go
+++ b/internal/leafpick/leaf.go
@@ -30,6 +30,9 @@
 	// multiples of the mean latency. Each call there costs the leaf a new connection,
 	// but less than what a paused or failing leaf takes.
 	guestCost = 4
+	// inTimePart is the part of the time left that the mean of a gather's calls may take;
+	// the slowest of them takes longer.
+	inTimePart = 0.75
 	// minEject and maxEject bound the time that a leaf is left out after it could
 	// not be reached or let a call time out.
 	minEject = 400 * time.Millisecond
@@ -161,7 +164,7 @@
 	// Calls that have begun at random times leave n connections one after the other, each
 	// after a part 1/(n+1) of a call.
 	wait := answer * float64(1+state.Waiting) / float64(1+state.Limit)
-	return wait+answer > float64(within)
+	return wait+answer > inTimePart*float64(within)
 }
 
 // eject leaves the leaf out, each time in a row for longer.
