--- a/internal/holder/leaf.go
+++ b/internal/holder/leaf.go
@@ -190,7 +190,7 @@
 	l.refuse(decision.Refused)
 	switch decision.Verdict {
 	case admission.Start:
-		return l.slot(id), nil, nil
+		return l.grant(id), nil, nil
 	case admission.Queued:
 		wait := make(chan outcome, 1)
 		l.waiting[id] = wait
@@ -201,8 +201,8 @@
 	}
 }
 
-// slot needs mu. It returns the slot of a call that starts now.
-func (l *leaf) slot(id uint64) slot { return slot{id: id, incarnation: l.report.Incarnation} }
+// grant needs mu. It returns the slot of a call that starts now.
+func (l *leaf) grant(id uint64) slot { return slot{id: id, incarnation: l.report.Incarnation} }
 
 func (l *leaf) noSlots(now time.Duration) error {
 	if l.tracker.State(now) == warmup.Leaving {
@@ -271,7 +271,7 @@
 // dispatch needs mu. It wakes the calls that the scheduler has decided on.
 func (l *leaf) dispatch(b admission.Batch) {
 	for _, item := range b.Start {
-		l.wake(item.ID, outcome{started: true, slot: l.slot(item.ID)})
+		l.wake(item.ID, outcome{started: true, slot: l.grant(item.ID)})
 	}
 	l.refuse(b.Refused)
 }
