Tell a busy leaf from a dead one on a new connection

Since a new connection asks the leaf for its report; a report that did not come in time counted as a connection that could not be opened, and so as a lost leaf. It is a deadline that has passed now, true as not run. Test red first.

--- a/internal/target/conns.go
+++ b/internal/target/conns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -190,7 +191,7 @@
 	defer c.mu.Unlock()
 	c.dialing--
 	if err != nil {
-		return nil, kind.Errorf(kind.ConnectFailed, "connect to leaf at %s: %w", c.address, err)
+		return nil, connectError(c.address, err)
 	}
 	if c.closed {
 		_ = client.Close()
@@ -201,6 +202,15 @@
 	return fresh, nil
 }
 
+// connectError classifies a connection that could not be opened. A leaf that accepts it and
+// does not name itself in time may be busy, which does not show that its process has ended.
+func connectError(address string, err error) error {
+	if errors.Is(err, context.DeadlineExceeded) && kind.Of(err) == kind.ConnectionLost {
+		return kind.Errorf(kind.DeadlinePassed, "leaf at %s did not name itself on a new connection: %w", address, err)
+	}
+	return kind.Errorf(kind.ConnectFailed, "connect to leaf at %s: %w", address, err)
+}
+
 // identified returns the report of the leaf on a new connection, which it closes if there
 // is none.
 func (c *conns) identified(ctx context.Context, client *http.ClientConn) (Report, error) {
--- a/internal/target/http_test.go
+++ b/internal/target/http_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -124,3 +125,19 @@
 	_, err = caller.Call(context.Background(), r)
 	require.NoError(t, err)
 }
+
+// TestSilentNewConnectionIsNotADeadLeaf has a leaf that accepts connections and says nothing
+// on them, as one that is busy for longer than a call may take.
+func TestSilentNewConnectionIsNotADeadLeaf(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	caller, err := target.NewHTTP("http://"+listener.Addr().String(), 4)
+	require.NoError(t, err)
+	t.Cleanup(caller.Close)
+	r := newRequest()
+	r.Deadline = time.Now().Add(50 * time.Millisecond)
+	_, err = caller.Call(context.Background(), r)
+	require.Equal(t, kind.DeadlinePassed, kind.Of(err), "%v", err)
+	require.Equal(t, kind.RunNo, kind.RunOf(err))
+}
