--- a/internal/statesync/server.go
+++ b/internal/statesync/server.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/redwingshelf/redwingshelf/internal/catalog"
 )
 
@@ -64,5 +66,26 @@
 		r.Path = *path
 	}
 	r.Path = append(slices.Clip(r.Path), process)
+	w.reportReply(req, r)
 	return r
 }
+
+// reportReply counts the replies to other nodes, and logs those that carry a table or all
+// entries.
+func (w *Watcher) reportReply(req *Request, r *Reply) {
+	scope := w.options.Scope
+	scope.Counter("replies").Inc(1)
+	scope.Counter("reply_entries").Inc(int64(len(r.Changes)))
+	table := slices.ContainsFunc(r.Changes, func(c catalog.Change) bool { return c.Table != nil })
+	if table {
+		scope.Counter("reply_tables").Inc(1)
+	}
+	if r.Full {
+		scope.Counter("full_replies").Inc(1)
+	}
+	if !table && !r.Full {
+		return
+	}
+	w.options.Logger.Info("large reply to a peer", zap.String("peer", req.Requester), zap.Bool("full", r.Full),
+		zap.Bool("table", table), zap.Int("entries", len(r.Changes)), zap.Uint64("as_of", r.AsOf), zap.Duration("age", r.Age))
+}
