Transfer tables between nodes in parts that are sent once

Callers saw requests run by the service that a route had before a change, 6 s after the change was acknowledged: three roots of the spreading trees kept the old table, and some requests of 58 nodes met them.

Cause: a reply between nodes carried the whole catalog, table included, and had 1 s to arrive. Four copies of 335 KB share a link of 20 Mbit/s for 0.54 s, so that with a wait of up to 0.5 s before them they ended just too late. A failed request dropped the cursor, and the next one asked another node for everything again, mostly a root. The copies that nobody waited for filled the links of the roots, which could then neither answer nor hear the store.

What has arrived is kept if the peer fails, and is fetched on from any other. Nodes that ask a peer for the first time get only the entries newer than their own catalog. A table crosses each link of the tree once, and a transfer that is slow no longer makes another one.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -112,7 +112,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var events []Event
-	present := make(map[string]bool, len(s.Entries))
+	present := make(map[string]bool, len(s.Entries)+len(s.Unchanged))
+	for _, key := range s.Unchanged {
+		present[key] = true
+	}
 	for i := range s.Entries {
 		present[s.Entries[i].Key] = true
 		events = c.apply(now, s.Entries[i], events)
@@ -183,6 +186,29 @@
 	return changes, c.sequence, c.asOf
 }
 
+// Difference returns the entries without those that another catalog has, which is complete up to
+// revision after. It also returns the sequence number of the last change.
+func (c *Catalog) Difference(after uint64) (s *Snapshot, sequence uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s = &Snapshot{AsOf: c.asOf}
+	for key, entry := range c.entries {
+		if entry.Revision > after {
+			s.Entries = append(s.Entries, entry)
+		} else {
+			s.Unchanged = append(s.Unchanged, key)
+		}
+	}
+	return s, c.sequence
+}
+
+// NewestTable returns the change of the newest table. It is the zero value if there is none.
+func (c *Catalog) NewestTable() Change {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.newest
+}
+
 // recordChange counts a change of a key that had an effect.
 func (c *Catalog) recordChange(key string) {
 	c.sequence++
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -174,6 +174,9 @@
 type Snapshot struct {
 	AsOf    uint64
 	Entries []Change
+	// Unchanged are the keys of the entries that Entries leaves out, since the receiver has
+	// them.
+	Unchanged []string
 }
 
 // Update holds the changes after revision From, up to and including AsOf.
--- a/internal/relaynode/fleet.go
+++ b/internal/relaynode/fleet.go
@@ -105,6 +105,12 @@
 	return reply, n.peerPool.Ask(ctx, address, wire.TypeCatalog, req, reply)
 }
 
+// FetchTable implements statesync.Peers.
+func (n *Node) FetchTable(ctx context.Context, address string, req *statesync.TableRequest) (*statesync.TablePart, error) {
+	part := new(statesync.TablePart)
+	return part, n.peerPool.Ask(ctx, address, wire.TypeTable, req, part)
+}
+
 // HandleCall implements peer.Handler.
 func (n *Node) HandleCall(ctx context.Context, _ wire.Hello, frame wire.Frame, reply *peer.Reply) error {
 	switch frame.Type {
@@ -114,6 +120,12 @@
 			return kind.Errorf(kind.BadRequest, "%w", err)
 		}
 		return reply.Send(ctx, wire.TypeCatalogResult, n.watcher.ServeChanges(ctx, req))
+	case wire.TypeTable:
+		req := new(statesync.TableRequest)
+		if err := wire.Decode(frame.Payload, req); err != nil {
+			return kind.Errorf(kind.BadRequest, "%w", err)
+		}
+		return reply.Send(ctx, wire.TypeTableResult, n.watcher.ServeTable(req))
 	case wire.TypeGather:
 		c := new(relay.GatherCall)
 		if err := wire.Decode(frame.Payload, c); err != nil {
--- a/internal/statesync/narrowlink_test.go
+++ b/internal/statesync/narrowlink_test.go
@@ -87,6 +87,11 @@
 	return reply, p.call(ctx, address, req, reply, func(w *statesync.Watcher) any { return w.ServeChanges(ctx, req) })
 }
 
+func (p narrowPeers) FetchTable(ctx context.Context, address string, req *statesync.TableRequest) (*statesync.TablePart, error) {
+	part := new(statesync.TablePart)
+	return part, p.call(ctx, address, req, part, func(w *statesync.Watcher) any { return w.ServeTable(req) })
+}
+
 // call sends a request to a node and decodes its answer.
 func (p narrowPeers) call(ctx context.Context, address string, req, answer any, serve func(*statesync.Watcher) any) error {
 	p.fleet.mu.Lock()
--- a/internal/statesync/server.go
+++ b/internal/statesync/server.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/redwingshelf/redwingshelf/internal/catalog"
 )
 
@@ -50,13 +48,18 @@
 func maxAge(nodes int) time.Duration { return maxDirectAge + time.Duration(nodes-1)*maxAgePerHop }
 
 func (w *Watcher) reply(process string, req *Request, c *catalog.Catalog) *Reply {
-	after := req.Sequence
-	full := req.Process != process
-	if full {
-		after = 0
+	r := &Reply{Process: process, Full: req.Process != process}
+	if r.Full {
+		var s *catalog.Snapshot
+		s, r.Sequence = c.Difference(req.AsOf)
+		r.Changes, r.Unchanged, r.AsOf = s.Entries, s.Unchanged, s.AsOf
+	} else {
+		r.Changes, r.Sequence, r.AsOf = c.Since(req.Sequence)
+	}
+	r.leaveOutTables()
+	if e := w.newestTable(); e != nil {
+		r.Table = &e.info
 	}
-	r := &Reply{Process: process, Full: full}
-	r.Changes, r.Sequence, r.AsOf = c.Since(after)
 	age, known := w.Age()
 	if !known {
 		age = unknownAge
@@ -66,26 +69,26 @@
 		r.Path = *path
 	}
 	r.Path = append(slices.Clip(r.Path), process)
-	w.reportReply(req, r)
+	w.countReply(r)
 	return r
 }
 
-// reportReply counts the replies to other nodes, and logs those that carry a table or all
-// entries.
-func (w *Watcher) reportReply(req *Request, r *Reply) {
+// leaveOutTables removes the tables from the changes, since they are fetched in parts. In a full
+// reply their keys count as unchanged, so that the requester keeps its own.
+func (r *Reply) leaveOutTables() {
+	r.Changes = slices.DeleteFunc(r.Changes, func(c catalog.Change) bool {
+		if c.Table != nil && r.Full {
+			r.Unchanged = append(r.Unchanged, c.Key)
+		}
+		return c.Table != nil
+	})
+}
+
+func (w *Watcher) countReply(r *Reply) {
 	scope := w.options.Scope
 	scope.Counter("replies").Inc(1)
 	scope.Counter("reply_entries").Inc(int64(len(r.Changes)))
-	table := slices.ContainsFunc(r.Changes, func(c catalog.Change) bool { return c.Table != nil })
-	if table {
-		scope.Counter("reply_tables").Inc(1)
-	}
 	if r.Full {
 		scope.Counter("full_replies").Inc(1)
 	}
-	if !table && !r.Full {
-		return
-	}
-	w.options.Logger.Info("large reply to a peer", zap.String("peer", req.Requester), zap.Bool("full", r.Full),
-		zap.Bool("table", table), zap.Int("entries", len(r.Changes)), zap.Uint64("as_of", r.AsOf), zap.Duration("age", r.Age))
 }
--- a/internal/statesync/types.go
+++ b/internal/statesync/types.go
@@ -33,6 +33,8 @@
 type Peers interface {
 	// FetchChanges requests changes from the node at an address.
 	FetchChanges(ctx context.Context, address string, req *Request) (*Reply, error)
+	// FetchTable requests a part of a table from the node at an address.
+	FetchTable(ctx context.Context, address string, req *TableRequest) (*TablePart, error)
 }
 
 // Request requests the changes of a node's catalog after a cursor.
@@ -43,6 +45,8 @@
 	// first request.
 	Process  string
 	Sequence uint64
+	// AsOf is the revision up to which the requester's catalog is complete.
+	AsOf uint64
 	// MaxWait is how long the peer may wait for changes before it replies.
 	MaxWait time.Duration
 }
@@ -60,7 +64,12 @@
 	// Path are the processes that the catalog's state came through, the nearest to the
 	// store first. A node that finds itself there would follow itself.
 	Path []string
-	// Full is set if Changes are all entries, and not only those since the cursor.
-	Full    bool
-	Changes []catalog.Change
+	// Full is set if the cursor is not known: Changes are the entries that are newer than
+	// the requester's catalog, and Unchanged the keys of all others. Otherwise Changes are
+	// those since the cursor.
+	Full      bool
+	Changes   []catalog.Change
+	Unchanged []string
+	// Table is the newest table of the node, or nil if it has none. Changes hold no tables.
+	Table *TableInfo
 }
--- a/internal/statesync/watcher.go
+++ b/internal/statesync/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"errors"
 	"fmt"
 	"slices"
@@ -104,6 +105,16 @@
 	storeFailing bool
 	// initialReads counts the reads of the store while the catalog is empty.
 	initialReads int
+	// download is the table that is being fetched from peers since downloadStart, or nil.
+	// downloadSource is the peer that has more parts of it, or empty. rejected is the digest
+	// of the last table that could not be used.
+	download       *encodedTable
+	downloadStart  time.Duration
+	downloadSource string
+	rejected       [sha256.Size]byte
+	// encodedMu guards encoded, the newest table and the one before it.
+	encodedMu sync.Mutex
+	encoded   [2]*encodedTable
 }
 
 // NewWatcher returns a watcher that follows the store; Run starts it.
@@ -251,7 +262,7 @@
 		w.options.Logger.Info("store answers again", zap.Duration("confirmed_ago", age))
 	}
 	w.path.Store(nil)
-	w.confirm(0)
+	w.confirm(w.now())
 }
 
 // deferTables sets until when a table in the next answer may be deferred. It is called
@@ -278,48 +289,70 @@
 	w.options.Catalog.HoldLapsed(w.now())
 }
 
-// confirm records that the catalog holds everything that the store had age ago.
-func (w *Watcher) confirm(age time.Duration) {
-	at := max(w.now()-age, 1)
+// confirm records that the catalog holds everything that the store had at a time since start.
+func (w *Watcher) confirm(at time.Duration) {
+	at = max(at, 1)
 	if int64(at) > w.confirmed.Load() {
 		w.confirmed.Store(int64(at))
 	}
 }
 
-// followPeer requests changes from a peer once.
+// followPeer requests changes from a peer once. If the peer has a newer table, it fetches parts
+// of it too.
 func (w *Watcher) followPeer(ctx context.Context, address string) (changed bool, err error) {
-	req := w.cursors[address]
-	req.Requester, req.MaxWait = w.options.Process, peerWait
-	ctx, cancel := context.WithTimeout(ctx, peerWait+peerGrace)
-	defer cancel()
-	r, err := w.options.Peers.FetchChanges(ctx, address, &req)
+	c := w.options.Catalog
+	r, err := w.fetchChanges(ctx, address)
 	if err != nil {
-		delete(w.cursors, address)
 		return false, err
 	}
+	confirmed := w.now() - r.Age
 	limit := maxAge(len(r.Path))
 	if r.Age <= limit && !slices.Contains(r.Path, w.options.Process) {
 		w.endOutage(false)
 	}
-	w.deferTables()
-	now := w.now()
+	asOf, lacksTable := r.AsOf, w.lacks(r.Table)
+	if lacksTable {
+		asOf = min(asOf, r.Table.Revision-1)
+	}
 	var events []catalog.Event
 	if r.Full {
-		events = w.options.Catalog.Replace(now, &catalog.Snapshot{AsOf: r.AsOf, Entries: r.Changes})
+		events = c.Replace(w.now(), &catalog.Snapshot{AsOf: asOf, Entries: r.Changes, Unchanged: r.Unchanged})
 	} else {
-		events = w.options.Catalog.Merge(now, r.Changes, r.AsOf)
+		events = c.Merge(w.now(), r.Changes, asOf)
 	}
 	w.cursors[address] = Request{Process: r.Process, Sequence: r.Sequence}
-	w.report(events, r.AsOf)
+	w.report(events, asOf)
 	if slices.Contains(r.Path, w.options.Process) {
 		return false, fmt.Errorf("%w: it follows this node", errStalePeer)
 	}
+	if lacksTable {
+		if err := w.fetchTable(ctx, address, r.Table); err != nil {
+			return false, err
+		}
+		if w.lacks(r.Table) {
+			w.downloadSource = address
+			return false, nil
+		}
+		c.Merge(w.now(), nil, r.AsOf)
+	}
 	if r.Age > limit {
 		return false, fmt.Errorf("%w: its catalog is %v old, more than %v", errStalePeer, r.Age, limit)
 	}
 	w.path.Store(&r.Path)
-	w.confirm(r.Age)
-	return len(r.Changes) > 0, nil
+	w.confirm(confirmed)
+	return lacksTable || len(r.Changes) > 0, nil
+}
+
+func (w *Watcher) fetchChanges(ctx context.Context, address string) (*Reply, error) {
+	req := w.cursors[address]
+	req.Requester, req.AsOf, req.MaxWait = w.options.Process, w.options.Catalog.View().AsOf, peerWait
+	if w.downloadSource == address {
+		req.MaxWait = 0
+	}
+	w.downloadSource = ""
+	ctx, cancel := context.WithTimeout(ctx, req.MaxWait+peerGrace)
+	defer cancel()
+	return w.options.Peers.FetchChanges(ctx, address, &req)
 }
 
 // markSucceeded records that a source has answered with an up-to-date state.
--- a/internal/statesync/watcher_test.go
+++ b/internal/statesync/watcher_test.go
@@ -173,6 +173,23 @@
 }
 
 func (a fakePeers) FetchChanges(ctx context.Context, address string, req *statesync.Request) (*statesync.Reply, error) {
+	w, err := a.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return w.ServeChanges(ctx, req), nil
+}
+
+func (a fakePeers) FetchTable(ctx context.Context, address string, req *statesync.TableRequest) (*statesync.TablePart, error) {
+	w, err := a.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return w.ServeTable(req), nil
+}
+
+// reach returns the watcher of another node, if the node can be reached before ctx ends.
+func (a fakePeers) reach(ctx context.Context, address string) (*statesync.Watcher, error) {
 	a.fleet.mu.Lock()
 	w := a.fleet.watchers[address]
 	partitioned := a.fleet.partitioned
@@ -184,7 +201,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	return w.ServeChanges(ctx, req), nil
+	return w, nil
 }
 
 // nodes returns all nodes of the fleet.
--- a/internal/wire/decode_test.go
+++ b/internal/wire/decode_test.go
@@ -35,7 +35,8 @@
 func messages() []any {
 	return []any{
 		new(wire.Scatter), new([]quarantine.CrashRecord), new(quarantine.CrashRecord), new(wire.Process), new(wire.Hello),
-		new(wire.CancelLeaf), new(wire.LeafResult), new(statesync.Reply), new(relay.GatherCall), new(relay.GatherAnswer),
+		new(wire.CancelLeaf), new(wire.LeafResult), new(statesync.Reply),
+		new(statesync.TableRequest), new(statesync.TablePart), new(relay.GatherCall), new(relay.GatherAnswer),
 	}
 }
 
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -65,6 +65,8 @@
 	TypeGatherResult
 	TypeCrashes
 	TypeCrashesResult
+	TypeTable
+	TypeTableResult
 	// NumTypes is one more than the greatest type.
 	NumTypes
 )
@@ -98,6 +100,8 @@
 	TypeGatherResult:   "gather_result",
 	TypeCrashes:        "crashes",
 	TypeCrashesResult:  "crashes_result",
+	TypeTable:          "table",
+	TypeTableResult:    "table_result",
 	TypeQuarantineAck:  "quarantine_ack",
 	TypeQuarantineEnd:  "quarantine_end",
 	TypePermit:         "permit",
