Bound reads of the store by progress instead of a fixed time

The roots of the trees lost the store while it served them, and did not come back to it: their nodes kept an old table.

Cause: a watch ended 0.6 s after its wait with whatever had arrived, and after a failure the wait is 0. A configuration of 1 MB takes a link of 20 Mbit/s 0.4 s if nothing else uses it, so that beside other traffic it could never be read. The first reads of a starting node had 0.4 s.

The time allowed now bounds the beginning of an answer. The catalog counts as confirmed at the time at which the answer began, so that a slow transfer is not taken for a newer state.

--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -177,6 +177,8 @@
 	// Unchanged are the keys of the entries that Entries leaves out, since the receiver has
 	// them.
 	Unchanged []string
+	// Answered is when the history gave the snapshot, or zero if it was just now.
+	Answered time.Time
 }
 
 // Update holds the changes after revision From, up to and including AsOf.
@@ -184,4 +186,6 @@
 	From    uint64
 	AsOf    uint64
 	Changes []Change
+	// Answered is when the history gave the update, or zero if it was just now.
+	Answered time.Time
 }
--- a/internal/relaynode/node_test.go
+++ b/internal/relaynode/node_test.go
@@ -39,7 +39,7 @@
 	s.unavailable = unavailable
 }
 
-func (s *fakeStore) Snapshot(context.Context) (*catalog.Snapshot, error) {
+func (s *fakeStore) Snapshot(context.Context, time.Duration) (*catalog.Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unavailable {
--- a/internal/statesync/narrowlink_test.go
+++ b/internal/statesync/narrowlink_test.go
@@ -149,9 +149,10 @@
 	return c
 }
 
-func (s narrowStore) Snapshot(ctx context.Context) (*catalog.Snapshot, error) {
-	snapshot, err := s.nodeStore.Snapshot(ctx)
+func (s narrowStore) Snapshot(ctx context.Context, answerWithin time.Duration) (*catalog.Snapshot, error) {
+	snapshot, err := s.nodeStore.Snapshot(ctx, answerWithin)
 	if err == nil {
+		snapshot.Answered = time.Now()
 		s.receive(snapshot.Entries)
 	}
 	return snapshot, err
@@ -160,6 +161,7 @@
 func (s narrowStore) Watch(ctx context.Context, after uint64, wait time.Duration) (*catalog.Update, error) {
 	u, err := s.nodeStore.Watch(ctx, after, wait)
 	if err == nil {
+		u.Answered = time.Now()
 		s.receive(u.Changes)
 	}
 	return u, err
--- a/internal/statesync/types.go
+++ b/internal/statesync/types.go
@@ -21,8 +21,9 @@
 // Store is a set of entries with a history of numbered revisions. It can be read and
 // watched.
 type Store interface {
-	// Snapshot returns all entries.
-	Snapshot(ctx context.Context) (*catalog.Snapshot, error)
+	// Snapshot returns all entries. It fails if the store does not begin to answer within
+	// answerWithin.
+	Snapshot(ctx context.Context, answerWithin time.Duration) (*catalog.Snapshot, error)
 	// Watch returns the changes after a revision as soon as there are any, or an
 	// empty update once wait has passed. It fails with ErrHistoryLost if the store no
 	// longer has the changes.
--- a/internal/statesync/watcher.go
+++ b/internal/statesync/watcher.go
@@ -35,9 +35,12 @@
 	stalePeerBackoff = 400 * time.Millisecond
 	// retryDelay is the pause before the next attempt when all sources have failed.
 	retryDelay = 400 * time.Millisecond
-	// initialReadTimeout bounds a read of the store by a node whose catalog is still
-	// empty. One read in longReadEvery is not bounded by it, so that a slow store can be
-	// read too. initialBackoff is how long such a node skips a source that failed: other
+	// readTimeout is the time within which a read of the store must begin to be answered.
+	// The store usually answers within milliseconds, and within a few hundred milliseconds
+	// when it is slow.
+	readTimeout = 1500 * time.Millisecond
+	// initialReadTimeout is the same for a node whose catalog is still empty. One read in
+	// longReadEvery has readTimeout, so that a slow store can be read too. initialBackoff is how long such a node skips a source that failed: other
 	// nodes may start at the same time, and until one of them has read the store none
 	// can serve. Only roots read the store this often.
 	initialReadTimeout = 400 * time.Millisecond
@@ -208,11 +211,9 @@
 	if w.uninitialized() {
 		w.initialReads++
 		if w.initialReads%longReadEvery != 0 {
-			var cancel context.CancelFunc
-			ctx, cancel = context.WithTimeout(ctx, initialReadTimeout)
-			defer cancel()
+			return false, w.readStore(ctx, initialReadTimeout)
 		}
-		return false, w.readStore(ctx)
+		return false, w.readStore(ctx, readTimeout)
 	}
 	wait := watchWait
 	if w.storeFailing {
@@ -222,16 +223,16 @@
 	u, err := w.options.Store.Watch(ctx, c.View().AsOf, wait)
 	if errors.Is(err, ErrHistoryLost) {
 		w.options.Logger.Warn("history of the store is lost, reading a snapshot", zap.Uint64("as_of", c.View().AsOf))
-		return false, w.readStore(ctx)
+		return false, w.readStore(ctx, readTimeout)
 	}
 	if err != nil {
 		return false, err
 	}
 	w.deferTables()
-	w.markStoreReachable()
+	w.markStoreReachable(u.Answered)
 	events, complete := c.Apply(w.now(), u)
 	if !complete {
-		return false, w.readStore(ctx)
+		return false, w.readStore(ctx, readTimeout)
 	}
 	w.report(events, u.AsOf)
 	return len(u.Changes) > 0, nil
@@ -241,20 +242,21 @@
 // from a peer yet.
 func (w *Watcher) uninitialized() bool { return !w.storeRead && w.options.Catalog.View().AsOf == 0 }
 
-func (w *Watcher) readStore(ctx context.Context) error {
-	s, err := w.options.Store.Snapshot(ctx)
+func (w *Watcher) readStore(ctx context.Context, answerWithin time.Duration) error {
+	s, err := w.options.Store.Snapshot(ctx, answerWithin)
 	if err != nil {
 		return err
 	}
 	w.deferTables()
-	w.markStoreReachable()
+	w.markStoreReachable(s.Answered)
 	w.storeRead = true
 	w.report(w.options.Catalog.Replace(w.now(), s), s.AsOf)
 	return nil
 }
 
-// markStoreReachable records an answer of the store.
-func (w *Watcher) markStoreReachable() {
+// markStoreReachable records an answer of the store, and when the store gave it if it took time
+// to arrive.
+func (w *Watcher) markStoreReachable(answered time.Time) {
 	w.endOutage(true)
 	if w.storeFailing {
 		w.storeFailing = false
@@ -262,7 +264,11 @@
 		w.options.Logger.Info("store answers again", zap.Duration("confirmed_ago", age))
 	}
 	w.path.Store(nil)
-	w.confirm(w.now())
+	at := w.now()
+	if !answered.IsZero() {
+		at = answered.Sub(w.start)
+	}
+	w.confirm(at)
 }
 
 // deferTables sets until when a table in the next answer may be deferred. It is called
--- a/internal/statesync/watcher_test.go
+++ b/internal/statesync/watcher_test.go
@@ -101,8 +101,8 @@
 	return nil
 }
 
-func (v nodeStore) Snapshot(ctx context.Context) (*catalog.Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+func (v nodeStore) Snapshot(ctx context.Context, answerWithin time.Duration) (*catalog.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerWithin)
 	defer cancel()
 	if err := v.enter(ctx); err != nil {
 		return nil, err
