Count long heads of leaves' answers towards the memory for answers

Cause: only bodies were counted. A head of 64 KiB in short lines takes 0.7 MB once parsed, on each connection: 100 such heads held 71 MB of a host with 184 MB.

Bytes of a head beyond the first 4 KiB now reserve 16 times their number, and the call fails with ErrTooLarge if there is no room; the connection is closed.

--- a/internal/leafconn/exchange.go
+++ b/internal/leafconn/exchange.go
@@ -55,9 +55,11 @@
 	Body   []byte
 	// Took is the time from the start of sending the request to the end of the answer.
 	Took time.Duration
-	// memory is the Memory in which reserved bytes are reserved for the body.
+	// memory is the Memory in which reserved bytes are reserved for the body, and head bytes
+	// for the headers.
 	memory   *Memory
 	reserved int
+	head     int
 }
 
 // Shrink replaces the body by a shorter one and releases the memory that is not needed any
@@ -70,8 +72,14 @@
 	}
 }
 
-// Release releases the memory of the body. The body must not be used afterwards.
-func (a *Answer) Release() { a.Shrink(nil) }
+// Release releases the memory of the answer. It must not be used afterwards.
+func (a *Answer) Release() {
+	a.Shrink(nil)
+	if a.memory != nil {
+		a.memory.release(a.head)
+		a.head = 0
+	}
+}
 
 // Error is the error of a failed exchange.
 type Error struct {
@@ -127,7 +135,8 @@
 }
 
 func newConn(p *Pool, raw net.Conn) *conn {
-	source := &boundedReader{Reader: raw, remaining: maxHeaderBytes}
+	source := &boundedReader{Reader: raw, memory: p.memory}
+	source.beginHead()
 	return &conn{pool: p, raw: raw, openedAt: time.Now(), source: source, reader: bufio.NewReaderSize(source, readBuffer), keepIdle: defaultIdleTimeout}
 }
 
@@ -277,18 +286,20 @@
 func (c *conn) readAnswer(e *exchange) (answer *Answer, reusable bool, err error) {
 	asked := &http.Request{Method: e.request.Method}
 	for range maxForeignAnswers + 1 {
-		c.source.remaining = maxHeaderBytes
+		c.source.beginHead()
 		response, err := http.ReadResponse(c.reader, asked)
 		if err != nil {
+			c.pool.memory.release(c.source.endHead())
 			return nil, false, fmt.Errorf("read answer: %w", err)
 		}
+		head := c.source.beginBody()
 		body, reserved, err := c.readBody(response)
 		if err != nil {
-			c.pool.memory.release(reserved)
+			c.pool.memory.release(head + reserved)
 			return nil, false, fmt.Errorf("read answer body: %w", err)
 		}
 		if response.StatusCode < http.StatusOK || !e.request.Matches(response.Header) {
-			c.pool.memory.release(reserved)
+			c.pool.memory.release(head + reserved)
 			if response.Close {
 				return nil, false, errForeign
 			}
@@ -296,7 +307,7 @@
 		}
 		c.setKeepIdle(response.Header.Get("Keep-Alive"))
 		answer := &Answer{Status: response.StatusCode, Header: response.Header, Body: body, Took: time.Since(e.started),
-			memory: c.pool.memory, reserved: reserved}
+			memory: c.pool.memory, reserved: reserved, head: head}
 		return answer, !response.Close, nil
 	}
 	return nil, false, errForeign
--- a/internal/leafconn/memory.go
+++ b/internal/leafconn/memory.go
@@ -13,18 +13,24 @@
 	// its body.
 	maxHeaderBytes = 64 << 10
 	maxAnswerBytes = 16 << 20
+	// unreservedHeadBytes is the size of a head for which no memory is reserved. For the bytes
+	// beyond it headExpansion times their number is reserved, since the fields of parsed
+	// headers are larger than short lines on the wire.
+	unreservedHeadBytes = readBuffer
+	headExpansion       = 16
 	// framingDivisor bounds the framing of a chunked body: it may add up to
 	// maxAnswerBytes/framingDivisor bytes.
 	framingDivisor = 4
-	// DefaultMemory is the memory for answer bodies, in bytes, of a host that sets no limit.
+	// DefaultMemory is the memory for answers, in bytes, of a host that sets no limit.
 	DefaultMemory = 256 << 20
 )
 
 // ErrTooLarge is the error of calls whose answer exceeds the size limits or does not fit in
-// the memory for answer bodies.
+// the memory for answers.
 var ErrTooLarge = errors.New("answer exceeds the size or memory limit")
 
-// Memory limits the total size of the answer bodies that a node holds.
+// Memory limits the total size of the answers that a node holds: of their bodies and of long
+// heads.
 type Memory struct {
 	limit int64
 	used  atomic.Int64
@@ -55,10 +61,35 @@
 
 func (m *Memory) release(n int) { m.used.Add(-int64(n)) }
 
-// boundedReader fails with ErrTooLarge once no bytes remain of its allowance.
+// boundedReader fails with ErrTooLarge once no bytes remain of its allowance. It reserves memory
+// for the bytes of a head beyond the first ones.
 type boundedReader struct {
 	io.Reader
 	remaining int
+	// unreserved is the number of bytes that may be read without a reservation.
+	unreserved int
+	memory     *Memory
+	// reserved is the memory reserved for the present head.
+	reserved int
+}
+
+// beginHead prepares for reading the head of an answer.
+func (r *boundedReader) beginHead() {
+	r.remaining, r.unreserved = maxHeaderBytes, unreservedHeadBytes
+}
+
+// beginBody prepares for reading a body, for which readBody reserves memory. It returns the
+// memory that is reserved for the head.
+func (r *boundedReader) beginBody() (reserved int) {
+	r.remaining = maxAnswerBytes + maxAnswerBytes/framingDivisor
+	r.unreserved = r.remaining
+	return r.endHead()
+}
+
+// endHead returns the memory that is reserved for the head. The caller releases it.
+func (r *boundedReader) endHead() (reserved int) {
+	reserved, r.reserved = r.reserved, 0
+	return reserved
 }
 
 func (r *boundedReader) Read(b []byte) (int, error) {
@@ -67,6 +98,13 @@
 	}
 	n, err := r.Reader.Read(b[:min(len(b), r.remaining)])
 	r.remaining -= n
+	if excess := n - r.unreserved; excess > 0 {
+		if !r.memory.reserve(excess * headExpansion) {
+			return 0, ErrTooLarge
+		}
+		r.reserved += excess * headExpansion
+	}
+	r.unreserved = max(0, r.unreserved-n)
 	return n, err
 }
 
@@ -77,7 +115,6 @@
 	if response.ContentLength > maxAnswerBytes {
 		return nil, 0, ErrTooLarge
 	}
-	c.source.remaining = maxAnswerBytes + maxAnswerBytes/framingDivisor
 	var read bytes.Buffer
 	for {
 		if read.Available() < bytes.MinRead {
