--- a/internal/leafconn/check_test.go
+++ b/internal/leafconn/check_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/redwingshelf/redwingshelf/internal/leafconn"
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 	"github.com/redwingshelf/redwingshelf/internal/relay/relaytest"
 )
 
@@ -50,7 +51,7 @@
 				<-release
 				return relaytest.Answer(200, "sig", "x")(conn, r)
 			})
-			p := leafconn.NewPool(leaf.Address, 6, true, leafconn.NewMemory(0))
+			p := leafconn.NewPool(leaf.Address, 6, true, memlimit.New(0))
 			defer p.Close()
 			// Concurrent calls leave as many idle connections. The next call uses one of
 			// them.
--- a/internal/leafconn/exchange.go
+++ b/internal/leafconn/exchange.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 )
 
 const (
@@ -55,9 +57,9 @@
 	Body   []byte
 	// Took is the time from the start of sending the request to the end of the answer.
 	Took time.Duration
-	// memory is the Memory in which reserved bytes are reserved for the body, and head bytes
+	// memory is where reserved bytes are reserved for the body, and head bytes
 	// for the headers.
-	memory   *Memory
+	memory   *memlimit.Memory
 	reserved int
 	head     int
 }
@@ -67,7 +69,7 @@
 func (a *Answer) Shrink(body []byte) {
 	a.Body = body
 	if a.memory != nil && len(body) < a.reserved {
-		a.memory.release(a.reserved - len(body))
+		a.memory.Release(a.reserved - len(body))
 		a.reserved = len(body)
 	}
 }
@@ -76,7 +78,7 @@
 func (a *Answer) Release() {
 	a.Shrink(nil)
 	if a.memory != nil {
-		a.memory.release(a.head)
+		a.memory.Release(a.head)
 		a.head = 0
 	}
 }
@@ -289,17 +291,17 @@
 		c.source.beginHead()
 		response, err := http.ReadResponse(c.reader, asked)
 		if err != nil {
-			c.pool.memory.release(c.source.endHead())
+			c.pool.memory.Release(c.source.endHead())
 			return nil, false, fmt.Errorf("read answer: %w", err)
 		}
 		head := c.source.beginBody()
 		body, reserved, err := c.readBody(response)
 		if err != nil {
-			c.pool.memory.release(head + reserved)
+			c.pool.memory.Release(head + reserved)
 			return nil, false, fmt.Errorf("read answer body: %w", err)
 		}
 		if response.StatusCode < http.StatusOK || !e.request.Matches(response.Header) {
-			c.pool.memory.release(head + reserved)
+			c.pool.memory.Release(head + reserved)
 			if response.Close {
 				return nil, false, errForeign
 			}
--- a/internal/leafconn/memory.go
+++ b/internal/leafconn/memory.go
@@ -5,7 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
+
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 )
 
 const (
@@ -21,46 +22,12 @@
 	// framingDivisor bounds the framing of a chunked body: it may add up to
 	// maxAnswerBytes/framingDivisor bytes.
 	framingDivisor = 4
-	// DefaultMemory is the memory for answers, in bytes, of a host that sets no limit.
-	DefaultMemory = 256 << 20
 )
 
 // ErrTooLarge is the error of calls whose answer exceeds the size limits or does not fit in
 // the memory for answers.
 var ErrTooLarge = errors.New("answer exceeds the size or memory limit")
 
-// Memory limits the total size of the answers that a node holds: of their bodies and of long
-// heads.
-type Memory struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// NewMemory returns a Memory of limit bytes, or of DefaultMemory if limit is not positive.
-func NewMemory(limit int64) *Memory {
-	if limit <= 0 {
-		limit = DefaultMemory
-	}
-	return &Memory{limit: limit}
-}
-
-// Used returns the number of bytes in use.
-func (m *Memory) Used() int64 { return m.used.Load() }
-
-func (m *Memory) reserve(n int) bool {
-	for {
-		used := m.used.Load()
-		if used+int64(n) > m.limit {
-			return false
-		}
-		if m.used.CompareAndSwap(used, used+int64(n)) {
-			return true
-		}
-	}
-}
-
-func (m *Memory) release(n int) { m.used.Add(-int64(n)) }
-
 // boundedReader fails with ErrTooLarge once no bytes remain of its allowance. It reserves memory
 // for the bytes of a head beyond the first ones.
 type boundedReader struct {
@@ -68,7 +35,7 @@
 	remaining int
 	// unreserved is the number of bytes that may be read without a reservation.
 	unreserved int
-	memory     *Memory
+	memory     *memlimit.Memory
 	// reserved is the memory reserved for the present head.
 	reserved int
 }
@@ -99,7 +66,7 @@
 	n, err := r.Reader.Read(b[:min(len(b), r.remaining)])
 	r.remaining -= n
 	if excess := n - r.unreserved; excess > 0 {
-		if !r.memory.reserve(excess * headExpansion) {
+		if !r.memory.Reserve(excess * headExpansion) {
 			return 0, ErrTooLarge
 		}
 		r.reserved += excess * headExpansion
@@ -108,7 +75,7 @@
 	return n, err
 }
 
-// readBody reads the body of an answer into memory reserved from the pool's Memory. It
+// readBody reads the body of an answer into memory reserved from the pool's memory. It
 // returns the number of bytes reserved, also with an error.
 func (c *conn) readBody(response *http.Response) (body []byte, reserved int, err error) {
 	defer func() { _ = response.Body.Close() }()
@@ -120,7 +87,7 @@
 		if read.Available() < bytes.MinRead {
 			// The reservation of a body of unknown length doubles with the buffer.
 			more := max(read.Len(), bytes.MinRead, int(response.ContentLength)+bytes.MinRead-reserved)
-			if !c.pool.memory.reserve(more) {
+			if !c.pool.memory.Reserve(more) {
 				return nil, reserved, ErrTooLarge
 			}
 			reserved += more
--- a/internal/leafconn/memory_test.go
+++ b/internal/leafconn/memory_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 )
 
 // TestHeadsStayWithinMemoryLimit guards against faulty leaves whose heads, of many short lines,
@@ -21,7 +23,7 @@
 	const leaves, limit = 100, 8 << 20
 	// Each connection may use its buffers and a short head besides.
 	const maxHeap = limit + leaves*(256<<10)
-	memory := NewMemory(limit)
+	memory := memlimit.New(limit)
 	before := liveHeap()
 	ctx, cancel := context.WithCancel(t.Context())
 	failed := make(chan error, leaves)
@@ -89,7 +91,7 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"))
 	f.Add(bytes.Repeat([]byte("HTTP/1.1 102 Processing\r\n\r\n"), 50))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		memory := NewMemory(1 << 20)
+		memory := memlimit.New(1 << 20)
 		near, far := net.Pipe()
 		defer func() { _, _ = near.Close(), far.Close() }()
 		c := newConn(NewPool("leaf", 1, true, memory), near)
--- a/internal/leafconn/pool.go
+++ b/internal/leafconn/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/redwingshelf/redwingshelf/internal/leafpick"
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 )
 
 const (
@@ -36,7 +37,7 @@
 type Pool struct {
 	address string
 	dialer  *net.Dialer
-	memory  *Memory
+	memory  *memlimit.Memory
 	// mu guards the fields below.
 	mu       sync.Mutex
 	limit    int
@@ -64,7 +65,7 @@
 
 // NewPool returns a pool without connections. limit is the maximum number of connections.
 // Idle ones stay open if keepIdle is set. The bodies of answers are limited by memory.
-func NewPool(address string, limit int, keepIdle bool, memory *Memory) *Pool {
+func NewPool(address string, limit int, keepIdle bool, memory *memlimit.Memory) *Pool {
 	return &Pool{address: address, dialer: Dialer(connectTimeout), memory: memory, limit: limit, keepIdle: keepIdle, conns: map[*conn]struct{}{}}
 }
 
--- a/internal/leafconn/pool_test.go
+++ b/internal/leafconn/pool_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 )
 
 // TestNewestWaiterIsServedFirst has more requests than connections. The request that has
@@ -30,7 +32,7 @@
 func servedOrder(t *testing.T, priorities []int) []int {
 	var served []int
 	synctest.Test(t, func(t *testing.T) {
-		p := NewPool("leaf", 1, true, NewMemory(0))
+		p := NewPool("leaf", 1, true, memlimit.New(0))
 		near, far := net.Pipe()
 		defer func() { _, _ = near.Close(), far.Close() }()
 		c := newConn(p, near)
@@ -71,7 +73,7 @@
 		kept int
 	}{{0, 1}, {writeGrace / 2, 1}, {2 * writeGrace, 0}} {
 		synctest.Test(t, func(t *testing.T) {
-			p := NewPool("leaf", 1, true, NewMemory(0))
+			p := NewPool("leaf", 1, true, memlimit.New(0))
 			near, far := net.Pipe()
 			defer func() { _, _ = near.Close(), far.Close() }()
 			leaf := newConn(p, slowWriter{near, c.by})
@@ -104,7 +106,7 @@
 // it. A request that waited for an answer on it would wait forever.
 func TestEndedConnectionIsNotUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := NewPool("leaf", 1, true, NewMemory(0))
+		p := NewPool("leaf", 1, true, memlimit.New(0))
 		near, far := net.Pipe()
 		leaf := newConn(p, near)
 		p.open = 1
@@ -122,7 +124,7 @@
 func TestPauseFailsWaitingRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const pause = time.Second
-		p := NewPool("leaf", 1, true, NewMemory(0))
+		p := NewPool("leaf", 1, true, memlimit.New(0))
 		near, far := net.Pipe()
 		defer func() { _, _ = near.Close(), far.Close() }()
 		leaf := newConn(p, near)
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -1,6 +1,6 @@
 package relay
 
-import "github.com/redwingshelf/redwingshelf/internal/leafconn"
+import "github.com/redwingshelf/redwingshelf/internal/memlimit"
 
 // AnswerBytes returns the total size of the answer bodies that are held.
 func (s *Services) AnswerBytes() int64 { return s.memory.Used() }
@@ -8,7 +8,7 @@
 // SetAnswerBytes sets the limit for answer bodies. It must be called before any connection is
 // opened.
 func (s *Services) SetAnswerBytes(limit int64) {
-	s.memory = leafconn.NewMemory(limit)
+	s.memory = memlimit.New(limit)
 	for _, service := range *s.byName.Load() {
 		for id := range service.pools {
 			service.pools[id].pool.Close()
--- a/internal/relay/services.go
+++ b/internal/relay/services.go
@@ -12,8 +12,8 @@
 
 	"github.com/redwingshelf/redwingshelf/internal/catalog"
 	"github.com/redwingshelf/redwingshelf/internal/dispatch"
-	"github.com/redwingshelf/redwingshelf/internal/leafconn"
 	"github.com/redwingshelf/redwingshelf/internal/leafpick"
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 	"github.com/redwingshelf/redwingshelf/internal/quarantine"
 )
 
@@ -34,7 +34,7 @@
 	ColdRatio float64
 	ColdSlack float64
 	// AnswerBytes bounds the total size of the leaves' answer bodies that the node holds;
-	// zero means leafconn.DefaultMemory.
+	// zero means memlimit.Default.
 	AnswerBytes int64
 }
 
@@ -43,7 +43,7 @@
 	options ServicesOptions
 	logger  *zap.Logger
 	start   time.Time
-	memory  *leafconn.Memory
+	memory  *memlimit.Memory
 	fleet   atomic.Pointer[Fleet]
 	byName  atomic.Pointer[map[string]*serviceState]
 	// departures holds the leaves that have said that they are leaving.
@@ -85,7 +85,7 @@
 // catalog.
 func NewServices(o ServicesOptions, fleet *Fleet, latest func() *catalog.View, logger *zap.Logger) *Services {
 	s := &Services{
-		options: o, latest: latest, logger: logger, start: time.Now(), memory: leafconn.NewMemory(o.AnswerBytes),
+		options: o, latest: latest, logger: logger, start: time.Now(), memory: memlimit.New(o.AnswerBytes),
 		departures: departures{known: leafpick.NewDepartures()},
 		onCrash:    func(string, catalog.Process, string, []quarantine.SentContent) {},
 	}
