Close connections of leaves that send without end, on the product's own interface

Callers saw nothing of it while the leaf alone was faulty, but the connection went on receiving what nobody read: after a body without a declared length, one that is too long, or that of a refusal or a report, only the stream was reset. A head could take 10 MiB of each call (40 calls: 69 MB live, 20 MB allowed), a body 4 MiB before it was read. A violation of the protocol counted as the end of the leaf's process, which is evidence against the content that was sent.

Heads are bounded at 64 KiB, informational answers at 4, unread bytes at 256 KiB a call, and bodies that are being received at 64 MiB for the whole process. A call beyond a bound fails as bad_answer, and its connection is retired. A short rest of a body is read, so that refusals with a text keep their connection.

--- a/internal/demo/bench_test.go
+++ b/internal/demo/bench_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/redwingshelf/redwingshelf/internal/document"
 	"github.com/redwingshelf/redwingshelf/internal/entry"
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 	"github.com/redwingshelf/redwingshelf/internal/standin"
 	"github.com/redwingshelf/redwingshelf/internal/target"
 )
@@ -206,7 +207,7 @@
 	urls := startLeafProcess(b, benchDocument(b, scatterLeaves, 5, 2))
 	var callers []*target.HTTP
 	for _, url := range urls {
-		caller, err := target.NewHTTP(url, 25)
+		caller, err := target.NewHTTP(url, 25, memlimit.New(0))
 		require.NoError(b, err)
 		defer caller.Close()
 		callers = append(callers, caller)
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -11,6 +11,7 @@
 	"github.com/redwingshelf/redwingshelf/internal/confsync"
 	"github.com/redwingshelf/redwingshelf/internal/document"
 	"github.com/redwingshelf/redwingshelf/internal/hostlist"
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 	"github.com/redwingshelf/redwingshelf/internal/routing"
 	"github.com/redwingshelf/redwingshelf/internal/target"
 )
@@ -20,17 +21,22 @@
 	blobHosts  = "hosts"
 )
 
+// answerMemory bounds the answers of leaves that a host receives at the same time, in bytes.
+const answerMemory = 64 << 20
+
 // targetAddresses maps leaves and instances to base URLs. Addresses in the
 // settings take precedence over those in the host list.
 type targetAddresses struct {
 	fromSettings map[string]string
+	// answers bounds the memory for answers of leaves that are being received.
+	answers *memlimit.Memory
 	// mu guards fromHostList.
 	mu           sync.RWMutex
 	fromHostList map[string]string
 }
 
 func newTargetAddresses(fromSettings map[string]string) *targetAddresses {
-	return &targetAddresses{fromSettings: maps.Clone(fromSettings)}
+	return &targetAddresses{fromSettings: maps.Clone(fromSettings), answers: memlimit.New(answerMemory)}
 }
 
 func (t *targetAddresses) set(fromHostList map[string]string) {
@@ -59,7 +65,7 @@
 
 // Dial implements holder.Targets.
 func (t *targetAddresses) Dial(address string, connections int) (target.Caller, error) {
-	return target.NewHTTP(address, connections)
+	return target.NewHTTP(address, connections, t.answers)
 }
 
 // differ computes and applies deltas between revisions of a blob.
--- a/internal/target/conns.go
+++ b/internal/target/conns.go
@@ -77,6 +77,8 @@
 type trackedConn struct {
 	net.Conn
 	lastRead atomic.Int64
+	// ended is set when the other end or the network has ended the connection.
+	ended atomic.Bool
 }
 
 // Read implements net.Conn.
@@ -85,6 +87,9 @@
 	if n > 0 {
 		c.lastRead.Store(time.Now().UnixNano())
 	}
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		c.ended.Store(true)
+	}
 	return n, err
 }
 
@@ -100,12 +105,15 @@
 		limit:    limit,
 		identify: identify,
 		transport: &http.Transport{
-			Protocols:          protocols,
-			DisableCompression: true,
-			DialContext:        dialTracked,
+			Protocols:              protocols,
+			DisableCompression:     true,
+			DialContext:            dialTracked,
+			MaxResponseHeaderBytes: maxHeadBytes,
 			HTTP2: &http.HTTP2Config{
-				SendPingTimeout: pingAfter,
-				PingTimeout:     pingTimeout,
+				SendPingTimeout:               pingAfter,
+				PingTimeout:                   pingTimeout,
+				MaxReceiveBufferPerStream:     streamBuffer,
+				MaxReceiveBufferPerConnection: connBuffer,
 			},
 		},
 	}
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 )
 
 // MaxAnswer is the maximum length of a leaf's answer in bytes.
@@ -24,13 +25,15 @@
 // HTTP calls one leaf by the HTTP contract. It uses HTTP/2 without TLS, so that
 // cancelling a call does not close its connection.
 type HTTP struct {
-	base  url.URL
-	conns *conns
+	base   url.URL
+	conns  *conns
+	memory *memlimit.Memory
 }
 
 // NewHTTP returns a Caller of the leaf at a base URL such as
-// http://10.0.0.7:9000, with at most the given number of connections.
-func NewHTTP(base string, connections int) (*HTTP, error) {
+// http://10.0.0.7:9000, with at most the given number of connections. Bodies of answers are
+// reserved in memory while they are received.
+func NewHTTP(base string, connections int, memory *memlimit.Memory) (*HTTP, error) {
 	u, err := url.Parse(base)
 	if err != nil {
 		return nil, fmt.Errorf("leaf address %q: %w", base, err)
@@ -38,7 +41,7 @@
 	if u.Scheme != "http" || u.Host == "" {
 		return nil, fmt.Errorf("leaf address %q is not of the form http://IP:PORT", base)
 	}
-	h := &HTTP{base: url.URL{Scheme: "http", Host: u.Host}}
+	h := &HTTP{base: url.URL{Scheme: "http", Host: u.Host}, memory: memory}
 	h.conns = newConns(u.Host, connections, h.report)
 	return h, nil
 }
@@ -64,15 +67,27 @@
 	if r.Incarnation != "" && c.firstReport.Incarnation != "" && c.firstReport.Incarnation != r.Incarnation {
 		return nil, incarnationMismatch(c, r)
 	}
-	response, err := c.client.RoundTrip(h.newRequest(ctx, r, remaining))
+	heads := new(informational)
+	response, err := c.client.RoundTrip(h.newRequest(heads.bound(ctx), r, remaining))
+	if err != nil && ctx.Err() == nil && (heads.exceeded() || c.sentInvalidHead(err)) {
+		h.conns.retire(c)
+		return nil, newCallError(kind.Errorf(kind.BadAnswer, "leaf %q sent an invalid head: %w", r.Leaf, err))
+	}
 	if err != nil {
 		h.conns.sweep()
 		return nil, h.transportError(ctx, c, r, err)
 	}
-	defer func() { _ = response.Body.Close() }()
+	defer h.end(ctx, c, response)
 	return h.readAnswer(ctx, c, r, response)
 }
 
+// end closes the body of an answer, and retires the connection if the leaf goes on sending.
+func (h *HTTP) end(ctx context.Context, c *conn, response *http.Response) {
+	if !endBody(response.Body) && ctx.Err() == nil {
+		h.conns.retire(c)
+	}
+}
+
 // Cancel implements Caller.
 func (h *HTTP) Cancel(ctx context.Context, id string) {
 	c, err := h.conns.get(ctx)
@@ -89,7 +104,7 @@
 	request.Header.Set(HeaderRequestID, id)
 	response, err := c.client.RoundTrip(request)
 	if err == nil {
-		_ = response.Body.Close()
+		h.end(ctx, c, response)
 	}
 }
 
@@ -161,6 +176,10 @@
 	if response.ContentLength < 0 || response.ContentLength > MaxAnswer {
 		return nil, newCallError(kind.Errorf(kind.BadAnswer, "leaf %q declared a length of %d bytes", r.Leaf, response.ContentLength))
 	}
+	if !h.memory.Reserve(int(response.ContentLength)) {
+		return nil, newCallError(kind.Errorf(kind.BadAnswer, "no memory for %d bytes of leaf %q", response.ContentLength, r.Leaf))
+	}
+	defer h.memory.Release(int(response.ContentLength))
 	body := make([]byte, response.ContentLength)
 	if _, err := io.ReadFull(response.Body, body); err != nil {
 		return nil, h.bodyError(ctx, c, r, err)
@@ -218,10 +237,12 @@
 	}
 	defer c.end()
 	report, err := h.report(ctx, c.client)
-	if err != nil {
-		if kind.Of(err) == kind.ConnectionLost {
-			h.conns.sweep()
-		}
+	switch {
+	case kind.Of(err) == kind.ConnectionLost:
+		h.conns.sweep()
+		return nil, err
+	case err != nil:
+		h.conns.retire(c)
 		return nil, err
 	}
 	return &report, nil
@@ -231,7 +252,7 @@
 func (h *HTTP) report(ctx context.Context, client *http.ClientConn) (Report, error) {
 	u := h.base
 	u.Path = PathReport
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	request, err := http.NewRequestWithContext(new(informational).bound(ctx), http.MethodGet, u.String(), nil)
 	if err != nil {
 		return Report{}, err
 	}
@@ -239,7 +260,9 @@
 	if err != nil {
 		return Report{}, kind.Errorf(kind.ConnectionLost, "request the report of leaf at %s: %w", u.Host, err)
 	}
-	defer func() { _ = response.Body.Close() }()
+	if !endBody(response.Body) {
+		return Report{}, kind.Errorf(kind.BadAnswer, "report of leaf at %s does not end", u.Host)
+	}
 	report, err := parseReport(response.Header)
 	if err != nil {
 		return Report{}, kind.Errorf(kind.BadAnswer, "report of leaf at %s: %w", u.Host, err)
--- a/internal/target/http_test.go
+++ b/internal/target/http_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 	"github.com/redwingshelf/redwingshelf/internal/standin"
 	"github.com/redwingshelf/redwingshelf/internal/target"
 )
@@ -19,7 +20,7 @@
 	leaf, err := standin.NewLeaf(o, standin.NewSnapshot("1-first", 10, 1))
 	require.NoError(t, err)
 	t.Cleanup(leaf.Close)
-	caller, err := target.NewHTTP(leaf.URL(), 4)
+	caller, err := target.NewHTTP(leaf.URL(), 4, memlimit.New(0))
 	require.NoError(t, err)
 	t.Cleanup(caller.Close)
 	return leaf, caller
@@ -132,7 +133,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	caller, err := target.NewHTTP("http://"+listener.Addr().String(), 4)
+	caller, err := target.NewHTTP("http://"+listener.Addr().String(), 4, memlimit.New(0))
 	require.NoError(t, err)
 	t.Cleanup(caller.Close)
 	r := newRequest()
