--- a/internal/confsync/fleet_test.go
+++ b/internal/confsync/fleet_test.go
@@ -82,6 +82,8 @@
 	peerRevisionsAtStart map[*node]uint64
 	bytesSent            int
 	readFault            readFault
+	// linkBusyUntil is when the node's link has sent all that it has been given.
+	linkBusyUntil time.Duration
 }
 
 // readFault determines how the reads of a node fail.
@@ -106,6 +108,8 @@
 	nodes     []*node
 	byAddress map[string]*node
 	loss      float64
+	// linkRate is the rate of a node's link in bytes per second, or zero for no limit.
+	linkRate int
 	// partition maps a node name to its side of the network partition. Nodes of
 	// different sides can't reach each other.
 	partition   map[string]int
@@ -262,6 +266,10 @@
 		return
 	}
 	delay := time.Millisecond + time.Duration(f.rng.Int64N(int64(time.Millisecond)))
+	if f.linkRate > 0 {
+		n.linkBusyUntil = max(n.linkBusyUntil, f.now) + time.Duration(len(encoded)+frameBytes)*time.Second/time.Duration(f.linkRate)
+		delay += n.linkBusyUntil - f.now
+	}
 	f.after(delay, func() {
 		p := f.byAddress[a.To]
 		if p.syncer != nil && f.connected(n, p) {
--- a/internal/confsync/syncer_test.go
+++ b/internal/confsync/syncer_test.go
@@ -279,6 +279,33 @@
 
 func (noDiffer) Delta(_, _ []byte) []byte { return nil }
 
+// TestLargeDocumentsReachNodesOnNarrowLinks guards against documents whose transfers time out on
+// links of 20 Mbit/s and start over until they fill the links. Differences can't be used.
+func TestLargeDocumentsReachNodesOnNarrowLinks(t *testing.T) {
+	const size, linkRate = 470 << 10, 20_000_000 / 8
+	f := startedFleet(t, 58, 25, 1)
+	f.linkRate = linkRate
+	for _, n := range f.nodes {
+		n.syncer.history.differ = noDiffer{}
+	}
+	sent := func() (total int) {
+		for _, n := range f.nodes {
+			total += n.bytesSent
+		}
+		return total
+	}
+	before := sent()
+	f.publish(document(2, "a", size))
+	f.run(3 * time.Second)
+	f.publish(document(3, "a", size))
+	require.LessOrEqual(t, f.converge(3, time.Minute), 5*time.Second)
+	// Each revision is sent to each node once, and the rest is announcements.
+	require.LessOrEqual(t, sent()-before, 2*len(f.nodes)*size*11/10)
+	before = sent()
+	f.run(5 * time.Second)
+	require.Less(t, sent()-before, len(f.nodes)*linkRate/100)
+}
+
 // A node never returns to an older revision within an incarnation, and doesn't become
 // ready with an older revision than its reachable ready peers had when it started.
 func TestRevisionNeverDecreases(t *testing.T) {
