Send the entries of a catalog in pages

Of 58 nodes with links of 20 Mbit/s and 4,700 leaves that start at once, only the 3 that read the store knew anything after 5 s.

A reply has at most 256 entries, in the order of their changes, and says if there are more; the next request continues after them. The revision up to which the catalog is complete rises with the last page only.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -112,8 +114,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var events []Event
-	present := make(map[string]bool, len(s.Entries)+len(s.Unchanged))
-	for _, key := range s.Unchanged {
+	present := make(map[string]bool, len(s.Entries)+len(s.LeftOut))
+	for _, key := range s.LeftOut {
 		present[key] = true
 	}
 	for i := range s.Entries {
@@ -125,7 +127,9 @@
 			events = c.apply(now, Change{Key: key, Revision: s.AsOf}, events)
 		}
 	}
-	c.asOf = max(c.asOf, s.AsOf)
+	if !s.Partial {
+		c.asOf = max(c.asOf, s.AsOf)
+	}
 	return c.publish(now, events)
 }
 
@@ -148,7 +152,8 @@
 	return c.publish(now, events)
 }
 
-// Merge applies changes from another node's catalog, which is complete up to asOf.
+// Merge applies changes from another node's catalog. With them the catalog is complete up to asOf,
+// or as before if it is zero.
 func (c *Catalog) Merge(now time.Duration, changes []Change, asOf uint64) []Event {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -168,38 +173,54 @@
 	return c.sequence, c.changed
 }
 
-// Since returns the changes after a sequence number, or all entries if it is zero, together
-// with the sequence number and the revision up to which they are complete.
-func (c *Catalog) Since(after uint64) (changes []Change, sequence, asOf uint64) {
+// Since returns the changes after a sequence number, or all entries if it is zero, in the order
+// in which they had an effect and at most limit of them.
+func (c *Catalog) Since(after uint64, limit int) *Page {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var keys []string
 	for key, at := range c.changedAt {
-		if at <= after {
-			continue
-		}
-		if e, exists := c.entries[key]; exists {
-			changes = append(changes, e)
-		} else if after > 0 {
-			changes = append(changes, Change{Key: key, Revision: c.tombstones[key]})
+		if _, exists := c.entries[key]; at > after && (exists || after > 0) {
+			keys = append(keys, key)
 		}
 	}
-	return changes, c.sequence, c.asOf
+	return c.page(keys, limit)
 }
 
-// Difference returns the entries without those that another catalog has, which is complete up to
-// revision after. It also returns the sequence number of the last change.
-func (c *Catalog) Difference(after uint64) (s *Snapshot, sequence uint64) {
+// Difference returns at most limit of the entries that another catalog lacks which is complete up
+// to a revision.
+func (c *Catalog) Difference(asOf uint64, limit int) *Page {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s = &Snapshot{AsOf: c.asOf}
+	var newer, older []string
 	for key, entry := range c.entries {
-		if entry.Revision > after {
-			s.Entries = append(s.Entries, entry)
+		if entry.Revision > asOf {
+			newer = append(newer, key)
+		} else {
+			older = append(older, key)
+		}
+	}
+	p := c.page(newer, limit)
+	p.LeftOut = append(older, newer[len(p.Changes):]...)
+	return p
+}
+
+// page returns the first changes of keys, and sorts them.
+func (c *Catalog) page(keys []string, limit int) *Page {
+	slices.SortFunc(keys, func(a, b string) int { return cmp.Compare(c.changedAt[a], c.changedAt[b]) })
+	p := &Page{Sequence: c.sequence, AsOf: c.asOf}
+	if len(keys) > limit {
+		p.More, p.Sequence = true, c.changedAt[keys[limit-1]]
+		keys = keys[:limit]
+	}
+	for _, key := range keys {
+		if e, exists := c.entries[key]; exists {
+			p.Changes = append(p.Changes, e)
 		} else {
-			s.Unchanged = append(s.Unchanged, key)
+			p.Changes = append(p.Changes, Change{Key: key, Revision: c.tombstones[key]})
 		}
 	}
-	return s, c.sequence
+	return p
 }
 
 // NewestTable returns the change of the newest table. It is the zero value if there is none.
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -117,7 +118,8 @@
 	c, follower := catalog.New(), catalog.New()
 	var at uint64
 	follow := func() {
-		changes, sequence, asOf := c.Since(at)
+		p := c.Since(at, math.MaxInt)
+		changes, sequence, asOf := p.Changes, p.Sequence, p.AsOf
 		follower.Merge(0, changes, asOf)
 		at = sequence
 		assert.ElementsMatch(t, ids(c.View()), ids(follower.View()))
@@ -133,7 +135,7 @@
 	c.Expire(time.Minute)
 	follow()
 	assert.Equal(t, []string{"c"}, ids(follower.View()))
-	changes, _, _ := c.Since(at)
+	changes := c.Since(at, math.MaxInt).Changes
 	assert.Empty(t, changes)
 }
 
@@ -183,7 +185,7 @@
 		require.NotEmpty(t, events[0].Ignored, name)
 		require.Len(t, c.View().Leaves["s"], 1, name)
 		require.True(t, c.View().Leaves["s"][0].Draining, "the valid entry is applied: %s", name)
-		changes, _, _ := c.Since(0)
+		changes := c.Since(0, math.MaxInt).Changes
 		require.Len(t, changes, 1, name)
 	}
 }
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -174,13 +174,26 @@
 type Snapshot struct {
 	AsOf    uint64
 	Entries []Change
-	// Unchanged are the keys of the entries that Entries leaves out, since the receiver has
-	// them.
-	Unchanged []string
+	// LeftOut are the keys of entries that exist but are not in Entries. Partial is set if the
+	// receiver does not have all of them yet.
+	LeftOut []string
+	Partial bool
 	// Answered is when the history gave the snapshot, or zero if it was just now.
 	Answered time.Time
 }
 
+// Page holds changes of a catalog for another one.
+type Page struct {
+	Changes []Change
+	// LeftOut are the keys of the entries that are not in Changes, in a Difference.
+	LeftOut []string
+	// Sequence is the sequence number of the last change, to continue from if there are More.
+	Sequence uint64
+	More     bool
+	// AsOf is the revision up to which the catalog is complete.
+	AsOf uint64
+}
+
 // Update holds the changes after revision From, up to and including AsOf.
 type Update struct {
 	From    uint64
--- a/internal/statesync/narrowlink_test.go
+++ b/internal/statesync/narrowlink_test.go
@@ -230,13 +230,14 @@
 	h.changed = make(chan struct{})
 }
 
-// inNarrowFleet runs a test in virtual time with a fleet of 58 nodes in 3 data centres.
-func inNarrowFleet(t *testing.T, test func(t *testing.T, f *narrowFleet)) {
+// inNarrowFleet runs a test in virtual time with a fleet of 58 nodes in 3 data centres, which
+// start at the same time.
+func inNarrowFleet(t *testing.T, leaves int, test func(t *testing.T, f *narrowFleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		store := newFakeStore()
-		for i := range 150 {
-			store.put(fmt.Sprintf("i-%010x", i), true)
+		for i := range leaves {
+			store.put(fmt.Sprintf("servers/i-%010x", i), true)
 		}
 		store.putTable(1, 50)
 		var nodes []statesync.Node
@@ -246,7 +247,7 @@
 		}
 		f := startNarrowFleet(ctx, store, nodes)
 		time.Sleep(5 * time.Second)
-		require.Equal(t, 58, f.at(1))
+		require.Equal(t, 58, f.at(1), "nodes with the first table")
 		test(t, f)
 		cancel()
 		time.Sleep(20 * time.Second)
@@ -259,7 +260,7 @@
 func TestLargeTablesReachNodesOnNarrowLinks(t *testing.T) {
 	for _, routes := range []int{1450, 4250, 6000} {
 		t.Run(fmt.Sprintf("%d routes", routes), func(t *testing.T) {
-			inNarrowFleet(t, func(t *testing.T, f *narrowFleet) {
+			inNarrowFleet(t, 150, func(t *testing.T, f *narrowFleet) {
 				f.store.putTable(2, routes)
 				time.Sleep(3100 * time.Millisecond)
 				f.store.putTable(3, routes+1)
@@ -273,3 +274,21 @@
 		})
 	}
 }
+
+// TestManyLeavesReachNodesOnNarrowLinks guards against a directory of leaves whose transfers time
+// out and start over when all nodes of a large fleet start at the same time.
+func TestManyLeavesReachNodesOnNarrowLinks(t *testing.T) {
+	const leaves = 4700
+	inNarrowFleet(t, leaves, func(t *testing.T, f *narrowFleet) {
+		complete := 0
+		for _, c := range f.catalogs {
+			if len(c.View().Leaves["s"]) == leaves {
+				complete++
+			}
+		}
+		assert.Equal(t, 58, complete, "nodes that know all leaves")
+		before := f.sent()
+		time.Sleep(tableApplyTime)
+		assert.Less(t, f.sent()-before, 58*linkBytesPerSecond/100)
+	})
+}
--- a/internal/statesync/server.go
+++ b/internal/statesync/server.go
@@ -8,8 +8,13 @@
 	"github.com/redwingshelf/redwingshelf/internal/catalog"
 )
 
-// maxWait bounds the time for which a request waits for changes.
-const maxWait = 5 * time.Second
+const (
+	// maxWait bounds the time for which a request waits for changes.
+	maxWait = 5 * time.Second
+	// maxReplyEntries bounds the entries in a reply, so that it arrives in time on a slow
+	// link: about 30 KB.
+	maxReplyEntries = 256
+)
 
 // ServeChanges serves a request of another node. It waits for changes for at most
 // MaxWait of the request.
@@ -48,14 +53,14 @@
 func maxAge(nodes int) time.Duration { return maxDirectAge + time.Duration(nodes-1)*maxAgePerHop }
 
 func (w *Watcher) reply(process string, req *Request, c *catalog.Catalog) *Reply {
-	r := &Reply{Process: process, Full: req.Process != process}
-	if r.Full {
-		var s *catalog.Snapshot
-		s, r.Sequence = c.Difference(req.AsOf)
-		r.Changes, r.Unchanged, r.AsOf = s.Entries, s.Unchanged, s.AsOf
+	full := req.Process != process
+	var p *catalog.Page
+	if full {
+		p = c.Difference(req.AsOf, maxReplyEntries)
 	} else {
-		r.Changes, r.Sequence, r.AsOf = c.Since(req.Sequence)
+		p = c.Since(req.Sequence, maxReplyEntries)
 	}
+	r := &Reply{Process: process, Sequence: p.Sequence, AsOf: p.AsOf, Full: full, Changes: p.Changes, LeftOut: p.LeftOut, More: p.More}
 	r.leaveOutTables()
 	if e := w.newestTable(); e != nil {
 		r.Table = &e.info
@@ -74,11 +79,11 @@
 }
 
 // leaveOutTables removes the tables from the changes, since they are fetched in parts. In a full
-// reply their keys count as unchanged, so that the requester keeps its own.
+// reply their keys count as left out, so that the requester keeps its own.
 func (r *Reply) leaveOutTables() {
 	r.Changes = slices.DeleteFunc(r.Changes, func(c catalog.Change) bool {
 		if c.Table != nil && r.Full {
-			r.Unchanged = append(r.Unchanged, c.Key)
+			r.LeftOut = append(r.LeftOut, c.Key)
 		}
 		return c.Table != nil
 	})
--- a/internal/statesync/types.go
+++ b/internal/statesync/types.go
@@ -65,12 +65,13 @@
 	// Path are the processes that the catalog's state came through, the nearest to the
 	// store first. A node that finds itself there would follow itself.
 	Path []string
-	// Full is set if the cursor is not known: Changes are the entries that are newer than
-	// the requester's catalog, and Unchanged the keys of all others. Otherwise Changes are
-	// those since the cursor.
-	Full      bool
-	Changes   []catalog.Change
-	Unchanged []string
+	// Full is set if the cursor is not known: Changes are entries that are newer than the
+	// requester's catalog, and LeftOut the keys of all others. Otherwise Changes are those
+	// since the cursor. More is set if there are more of them.
+	Full    bool
+	Changes []catalog.Change
+	LeftOut []string
+	More    bool
 	// Table is the newest table of the node, or nil if it has none. Changes hold no tables.
 	Table *TableInfo
 }
--- a/internal/statesync/watcher.go
+++ b/internal/statesync/watcher.go
@@ -109,12 +109,12 @@
 	// initialReads counts the reads of the store while the catalog is empty.
 	initialReads int
 	// download is the table that is being fetched from peers since downloadStart, or nil.
-	// downloadSource is the peer that has more parts of it, or empty. rejected is the digest
-	// of the last table that could not be used.
-	download       *encodedTable
-	downloadStart  time.Duration
-	downloadSource string
-	rejected       [sha256.Size]byte
+	// rejected is the digest of the last one that could not be used.
+	download      *encodedTable
+	downloadStart time.Duration
+	rejected      [sha256.Size]byte
+	// unfinished is the peer that has more changes or parts of a table, or empty.
+	unfinished string
 	// encodedMu guards encoded, the newest table and the one before it.
 	encodedMu sync.Mutex
 	encoded   [2]*encodedTable
@@ -316,31 +316,22 @@
 	if r.Age <= limit && !slices.Contains(r.Path, w.options.Process) {
 		w.endOutage(false)
 	}
-	asOf, lacksTable := r.AsOf, w.lacks(r.Table)
-	if lacksTable {
-		asOf = min(asOf, r.Table.Revision-1)
-	}
-	var events []catalog.Event
-	if r.Full {
-		events = c.Replace(w.now(), &catalog.Snapshot{AsOf: asOf, Entries: r.Changes, Unchanged: r.Unchanged})
-	} else {
-		events = c.Merge(w.now(), r.Changes, asOf)
-	}
+	w.applyReply(r)
 	w.cursors[address] = Request{Process: r.Process, Sequence: r.Sequence}
-	w.report(events, asOf)
 	if slices.Contains(r.Path, w.options.Process) {
 		return false, fmt.Errorf("%w: it follows this node", errStalePeer)
 	}
+	lacksTable := w.lacks(r.Table)
 	if lacksTable {
 		if err := w.fetchTable(ctx, address, r.Table); err != nil {
 			return false, err
 		}
-		if w.lacks(r.Table) {
-			w.downloadSource = address
-			return false, nil
-		}
-		c.Merge(w.now(), nil, r.AsOf)
 	}
+	if r.More || w.lacks(r.Table) {
+		w.unfinished = address
+		return false, nil
+	}
+	c.Merge(w.now(), nil, r.AsOf)
 	if r.Age > limit {
 		return false, fmt.Errorf("%w: its catalog is %v old, more than %v", errStalePeer, r.Age, limit)
 	}
@@ -349,13 +340,26 @@
 	return lacksTable || len(r.Changes) > 0, nil
 }
 
+// applyReply applies the changes of a reply. It does not raise the revision up to which the
+// catalog is complete, since more changes and a table may be missing.
+func (w *Watcher) applyReply(r *Reply) {
+	var events []catalog.Event
+	if r.Full {
+		snapshot := &catalog.Snapshot{AsOf: r.AsOf, Entries: r.Changes, LeftOut: r.LeftOut, Partial: true}
+		events = w.options.Catalog.Replace(w.now(), snapshot)
+	} else {
+		events = w.options.Catalog.Merge(w.now(), r.Changes, 0)
+	}
+	w.report(events, r.AsOf)
+}
+
 func (w *Watcher) fetchChanges(ctx context.Context, address string) (*Reply, error) {
 	req := w.cursors[address]
 	req.Requester, req.AsOf, req.MaxWait = w.options.Process, w.options.Catalog.View().AsOf, peerWait
-	if w.downloadSource == address {
+	if w.unfinished == address {
 		req.MaxWait = 0
 	}
-	w.downloadSource = ""
+	w.unfinished = ""
 	ctx, cancel := context.WithTimeout(ctx, req.MaxWait+peerGrace)
 	defer cancel()
 	return w.options.Peers.FetchChanges(ctx, address, &req)
