Publish one view for each reply of a peer

The catalog was published twice for each complete reply, which wakes up the nodes that wait for changes. A peer that has replaced the table that is being fetched is asked again soon.

--- a/internal/statesync/watcher.go
+++ b/internal/statesync/watcher.go
@@ -306,7 +306,6 @@
 // followPeer requests changes from a peer once. If the peer has a newer table, it fetches parts
 // of it too.
 func (w *Watcher) followPeer(ctx context.Context, address string) (changed bool, err error) {
-	c := w.options.Catalog
 	r, err := w.fetchChanges(ctx, address)
 	if err != nil {
 		return false, err
@@ -316,12 +315,12 @@
 	if r.Age <= limit && !slices.Contains(r.Path, w.options.Process) {
 		w.endOutage(false)
 	}
-	w.applyReply(r)
+	lacksTable := w.lacks(r.Table)
+	w.applyReply(r, !r.More && !lacksTable)
 	w.cursors[address] = Request{Process: r.Process, Sequence: r.Sequence}
 	if slices.Contains(r.Path, w.options.Process) {
 		return false, fmt.Errorf("%w: it follows this node", errStalePeer)
 	}
-	lacksTable := w.lacks(r.Table)
 	if lacksTable {
 		if err := w.fetchTable(ctx, address, r.Table); err != nil {
 			return false, err
@@ -331,7 +330,9 @@
 		w.unfinished = address
 		return false, nil
 	}
-	c.Merge(w.now(), nil, r.AsOf)
+	if lacksTable {
+		w.options.Catalog.Merge(w.now(), nil, r.AsOf)
+	}
 	if r.Age > limit {
 		return false, fmt.Errorf("%w: its catalog is %v old, more than %v", errStalePeer, r.Age, limit)
 	}
@@ -340,17 +341,20 @@
 	return lacksTable || len(r.Changes) > 0, nil
 }
 
-// applyReply applies the changes of a reply. It does not raise the revision up to which the
-// catalog is complete, since more changes and a table may be missing.
-func (w *Watcher) applyReply(r *Reply) {
-	var events []catalog.Event
+// applyReply applies the changes of a reply. complete is set if nothing is missing after them,
+// neither changes nor a table.
+func (w *Watcher) applyReply(r *Reply, complete bool) {
+	c := w.options.Catalog
 	if r.Full {
-		snapshot := &catalog.Snapshot{AsOf: r.AsOf, Entries: r.Changes, LeftOut: r.LeftOut, Partial: true}
-		events = w.options.Catalog.Replace(w.now(), snapshot)
-	} else {
-		events = w.options.Catalog.Merge(w.now(), r.Changes, 0)
+		snapshot := &catalog.Snapshot{AsOf: r.AsOf, Entries: r.Changes, LeftOut: r.LeftOut, Partial: !complete}
+		w.report(c.Replace(w.now(), snapshot), r.AsOf)
+		return
+	}
+	var asOf uint64
+	if complete {
+		asOf = r.AsOf
 	}
-	w.report(events, r.AsOf)
+	w.report(c.Merge(w.now(), r.Changes, asOf), r.AsOf)
 }
 
 func (w *Watcher) fetchChanges(ctx context.Context, address string) (*Reply, error) {
@@ -400,7 +404,7 @@
 	switch {
 	case w.uninitialized() && (root || source != storeSource):
 		return initialBackoff
-	case errors.Is(err, errStalePeer):
+	case errors.Is(err, errStalePeer), errors.Is(err, errTableReplaced):
 		return stalePeerBackoff
 	}
 	return failureBackoff
