Answer requests for unknown tables without ending the process

A request for a part of a table that a node does not have read an empty slot: a node that had restarted, asked by a follower that went on with its transfer, ended. Introduced with the transfers in parts, found by reading. TestUnknownTableIsNotServed ended with a nil dereference before.

A table that can't be decoded no longer counts as known: its peer is skipped, and the catalog is not complete.

--- a/internal/statesync/table.go
+++ b/internal/statesync/table.go
@@ -32,6 +32,7 @@
 
 // Errors of transfers of tables.
 var (
+	errTableUnusable = errors.New("table of the peer can't be decoded")
 	errTableReplaced = errors.New("peer does not have the table any longer")
 	errTableTooLarge = fmt.Errorf("table has more than %d bytes", maxTableBytes)
 )
@@ -134,7 +135,7 @@
 	w.encodedMu.Lock()
 	defer w.encodedMu.Unlock()
 	for _, e := range w.encoded {
-		if e.info.Digest != req.Digest || req.Offset < 0 || req.Offset >= len(e.data) {
+		if e == nil || e.info.Digest != req.Digest || req.Offset < 0 || req.Offset >= len(e.data) {
 			continue
 		}
 		part := e.data[req.Offset:min(len(e.data), req.Offset+partBytes)]
@@ -169,7 +170,8 @@
 // nodes that are fetching it can go on. encodedMu must be held.
 func (w *Watcher) keepEncoded(e *encodedTable) { w.encoded = [2]*encodedTable{e, w.encoded[0]} }
 
-// lacks reports whether a table is newer than that of the catalog and has not been rejected.
+// lacks reports whether a table is newer than that of the catalog, and the catalog has not
+// rejected it.
 func (w *Watcher) lacks(info *TableInfo) bool {
 	return info != nil && info.Revision > w.options.Catalog.NewestTable().Revision && info.Digest != w.rejected
 }
@@ -178,7 +180,10 @@
 // table once it is complete. A transfer that has begun goes on, also at another peer, even if
 // there is a newer table, so that tables in quick succession do not keep a node from all of them.
 func (w *Watcher) fetchTable(ctx context.Context, address string, newest *TableInfo) error {
-	if newest.Bytes <= 0 || newest.Bytes > maxTableBytes {
+	switch {
+	case newest.Digest == w.undecodable:
+		return errTableUnusable
+	case newest.Bytes <= 0 || newest.Bytes > maxTableBytes:
 		return errTableTooLarge
 	}
 	if w.download == nil || !w.lacks(&w.download.info) {
@@ -227,7 +232,7 @@
 	w.download = nil
 	change, err := d.decode()
 	if err != nil {
-		w.rejected = d.info.Digest
+		w.undecodable = d.info.Digest
 		return err
 	}
 	w.options.Logger.Info("table fetched", zap.String("source", address), zap.Int64("version", change.Table.Version),
--- a/internal/statesync/table_test.go
+++ b/internal/statesync/table_test.go
@@ -88,6 +88,22 @@
 	})
 }
 
+// TestUnknownTableIsNotServed covers requests for a table that a node does not have, as of a
+// follower that goes on with a transfer at a node that has restarted.
+func TestUnknownTableIsNotServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fresh := newWatcher("fresh", newFakeStore(), scriptedPeers{}, catalog.New())
+		assert.Empty(t, fresh.ServeTable(new(statesync.TableRequest)).Data)
+		source := tableSource(t, 10)
+		info := source.ServeChanges(t.Context(), &statesync.Request{}).Table
+		assert.Len(t, source.ServeTable(&statesync.TableRequest{Digest: info.Digest}).Data, info.Bytes)
+		for _, offset := range []int{-1, info.Bytes, 1 << 40} {
+			assert.Empty(t, source.ServeTable(&statesync.TableRequest{Digest: info.Digest, Offset: offset}).Data)
+		}
+		assert.Empty(t, source.ServeTable(new(statesync.TableRequest)).Data)
+	})
+}
+
 // TestInvalidTableFromPeerIsNotUsed guards against a peer whose table can't be used: it does not
 // end the process, and is not fetched again and again.
 func TestInvalidTableFromPeerIsNotUsed(t *testing.T) {
@@ -143,6 +159,7 @@
 				cancel()
 				time.Sleep(5 * time.Second)
 				assert.Equal(t, c.usable, catalog.View().Table != nil)
+				assert.Equal(t, c.usable, catalog.View().AsOf > 0, "complete without the table")
 				assert.LessOrEqual(t, calls, c.calls)
 			})
 		})
--- a/internal/statesync/watcher.go
+++ b/internal/statesync/watcher.go
@@ -109,10 +109,11 @@
 	// initialReads counts the reads of the store while the catalog is empty.
 	initialReads int
 	// download is the table that is being fetched from peers since downloadStart, or nil.
-	// rejected is the digest of the last one that could not be used.
-	download      *encodedTable
-	downloadStart time.Duration
-	rejected      [sha256.Size]byte
+	// undecodable is the digest of the last table that could not be decoded, and rejected
+	// that of the last one that the catalog ignored.
+	download              *encodedTable
+	downloadStart         time.Duration
+	undecodable, rejected [sha256.Size]byte
 	// unfinished is the peer that has more changes or parts of a table, or empty.
 	unfinished string
 	// encodedMu guards encoded, the newest table and the one before it.
