Do not pass over removals that are not known any more

A node that keeps its cursor while it follows others can come back to a peer that has forgotten removals since (it keeps 8,192): it would not hear of them from this peer. Such a cursor now counts as unknown, and the reply compares all entries. Possible before, and likelier since cursors outlive failures; found by reading. TestForgottenRemovalsAreNotPassedOver failed before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -54,6 +54,8 @@
 	// last one of each key.
 	sequence  uint64
 	changedAt map[string]uint64
+	// forgotten is the sequence up to which removals may be missing in changedAt.
+	forgotten uint64
 	// changed is closed when the next view is published.
 	changed chan struct{}
 	// lapsed are the keys of held leaves and until when each is held. Leaves whose
@@ -174,10 +176,14 @@
 }
 
 // Since returns the changes after a sequence number, or all entries if it is zero, in the order
-// in which they had an effect and at most limit of them.
+// in which they had an effect and at most limit of them. It returns nil if removals after that
+// number may have been forgotten.
 func (c *Catalog) Since(after uint64, limit int) *Page {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if after < c.forgotten && after > 0 {
+		return nil
+	}
 	var keys []string
 	for key, at := range c.changedAt {
 		if _, exists := c.entries[key]; at > after && (exists || after > 0) {
@@ -328,6 +334,7 @@
 func (c *Catalog) addTombstone(key string, revision uint64) {
 	if len(c.tombstones) >= maxTombstones {
 		clear(c.tombstones)
+		c.forgotten = c.sequence
 		for known := range c.changedAt {
 			if _, exists := c.entries[known]; !exists {
 				delete(c.changedAt, known)
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -167,6 +168,33 @@
 	}
 }
 
+// TestForgottenRemovalsAreNotPassedOver guards against a follower that keeps a removed leaf,
+// since it comes back with a cursor from before removals that are not known any more.
+func TestForgottenRemovalsAreNotPassedOver(t *testing.T) {
+	c := catalog.New()
+	revision := uint64(0)
+	change := func(id string, l *catalog.Leaf) {
+		revision++
+		c.Apply(0, &catalog.Update{From: revision - 1, AsOf: revision, Changes: []catalog.Change{{Key: id, Revision: revision, Leaf: l}}})
+	}
+	add := func(id string) {
+		change(id, &catalog.Leaf{ID: id, Service: "s", Address: "10.0.0.1:80", DataCentre: "z", Slots: 1})
+	}
+	add("a")
+	cursor := c.Since(0, math.MaxInt).Sequence
+	change("a", nil)
+	require.Len(t, c.Since(cursor, math.MaxInt).Changes, 1)
+	for i := range 9000 {
+		id := fmt.Sprint("b", i)
+		add(id)
+		change(id, nil)
+	}
+	require.Nil(t, c.Since(cursor, math.MaxInt), "the removal of a is not known any more")
+	p := c.Difference(1, math.MaxInt)
+	require.NotContains(t, p.LeftOut, "a")
+	require.NotNil(t, c.Since(p.Sequence, math.MaxInt))
+}
+
 // TestInvalidLeafFromPeerIsNotUsed guards against entries that a peer passes on although they
 // do not describe a leaf that can be used.
 func TestInvalidLeafFromPeerIsNotUsed(t *testing.T) {
--- a/internal/statesync/server.go
+++ b/internal/statesync/server.go
@@ -53,12 +53,13 @@
 func maxAge(nodes int) time.Duration { return maxDirectAge + time.Duration(nodes-1)*maxAgePerHop }
 
 func (w *Watcher) reply(process string, req *Request, c *catalog.Catalog) *Reply {
-	full := req.Process != process
 	var p *catalog.Page
+	if req.Process == process {
+		p = c.Since(req.Sequence, maxReplyEntries)
+	}
+	full := p == nil
 	if full {
 		p = c.Difference(req.AsOf, maxReplyEntries)
-	} else {
-		p = c.Since(req.Sequence, maxReplyEntries)
 	}
 	r := &Reply{Process: process, Sequence: p.Sequence, AsOf: p.AsOf, Full: full, Changes: p.Changes, LeftOut: p.LeftOut, More: p.More}
 	r.leaveOutTables()
