--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -189,9 +190,9 @@
 		add(id)
 		change(id, nil)
 	}
-	require.Nil(t, c.Since(cursor, math.MaxInt), "the removal of a is not known any more")
+	require.True(t, c.Since(cursor, math.MaxInt) == nil, "the removal of a is not known any more")
 	p := c.Difference(1, math.MaxInt)
-	require.NotContains(t, p.LeftOut, "a")
+	require.False(t, slices.Contains(p.LeftOut, "a"))
 	require.NotNil(t, c.Since(p.Sequence, math.MaxInt))
 }
 
--- a/internal/statesync/narrowlink_test.go
+++ b/internal/statesync/narrowlink_test.go
@@ -213,7 +213,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.revision++
-	t := &catalog.Table{Version: version, Services: map[string]*catalog.Service{"s": {Name: "s", MaxConns: 25}}}
+	t := &catalog.Table{Version: version, Services: map[string]*catalog.Service{"s": {Name: "s", MaxConns: 25, WarmupPerSecond: 1.5}}}
+	t.Limits = catalog.ClientLimits{BodyBytes: 1 << 20, IdleTimeout: time.Minute}
 	for i := range routes {
 		// The names on the wire are random, so that a route takes about 80 bytes.
 		name := fmt.Sprintf("%016x", uint64(i+1)*0x9e3779b97f4a7c15)
--- a/internal/statesync/table_test.go
+++ b/internal/statesync/table_test.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"context"
 	"crypto/sha256"
+	"reflect"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,21 +42,22 @@
 	})
 }
 
-// tableSource returns a node whose catalog holds a table.
-func tableSource(t *testing.T, routes int) *statesync.Watcher {
+// tableSource returns a node whose catalog holds a table, and the table.
+func tableSource(t *testing.T, routes int) (*statesync.Watcher, *catalog.Table) {
 	store := newFakeStore()
 	store.putTable(2, routes)
-	w := newWatcher("source", store, scriptedPeers{}, catalog.New())
+	c := catalog.New()
+	w := newWatcher("source", store, scriptedPeers{}, c)
 	go func() { _ = w.Run(t.Context()) }()
 	time.Sleep(time.Second)
-	return w
+	return w, c.View().Table
 }
 
 // TestTableTransferGoesOnAtAnotherPeer guards against a transfer that starts over when the
 // peer fails, so that a table never arrives where peers fail often.
 func TestTableTransferGoesOnAtAnotherPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		source := tableSource(t, 6000)
+		source, table := tableSource(t, 6000)
 		received, calls, offsets := 0, map[string]int{}, map[int]int{}
 		peers := scriptedPeers{
 			changes: func(string) (*statesync.Reply, error) {
@@ -80,21 +82,29 @@
 		time.Sleep(8 * time.Second)
 		cancel()
 		time.Sleep(5 * time.Second)
-		require.NotNil(t, c.View().Table)
-		assert.EqualValues(t, 2, c.View().Table.Version)
-		assert.Len(t, c.View().Table.Routes, 6000)
+		assert.True(t, reflect.DeepEqual(table, c.View().Table), "the table has arrived as it was")
+		assert.Equal(t, 4, exportedFields(table), "each field of a table is encoded")
 		size := source.ServeChanges(t.Context(), &statesync.Request{}).Table.Bytes
 		assert.Equal(t, size, received, "no part was received twice")
 	})
 }
 
+func exportedFields(t *catalog.Table) (n int) {
+	for _, f := range reflect.VisibleFields(reflect.TypeOf(*t)) {
+		if f.IsExported() {
+			n++
+		}
+	}
+	return n
+}
+
 // TestUnknownTableIsNotServed covers requests for a table that a node does not have, as of a
 // follower that goes on with a transfer at a node that has restarted.
 func TestUnknownTableIsNotServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fresh := newWatcher("fresh", newFakeStore(), scriptedPeers{}, catalog.New())
 		assert.Empty(t, fresh.ServeTable(new(statesync.TableRequest)).Data)
-		source := tableSource(t, 10)
+		source, _ := tableSource(t, 10)
 		info := source.ServeChanges(t.Context(), &statesync.Request{}).Table
 		assert.Len(t, source.ServeTable(&statesync.TableRequest{Digest: info.Digest}).Data, info.Bytes)
 		for _, offset := range []int{-1, info.Bytes, 1 << 40} {
--- a/internal/statesync/watcher.go
+++ b/internal/statesync/watcher.go
@@ -40,9 +40,10 @@
 	// when it is slow.
 	readTimeout = 1500 * time.Millisecond
 	// initialReadTimeout is the same for a node whose catalog is still empty. One read in
-	// longReadEvery has readTimeout, so that a slow store can be read too. initialBackoff is how long such a node skips a source that failed: other
-	// nodes may start at the same time, and until one of them has read the store none
-	// can serve. Only roots read the store this often.
+	// longReadEvery has readTimeout, so that a slow store can be read too. initialBackoff is
+	// how long such a node skips a source that failed: other nodes may start at the same
+	// time, and until one of them has read the store none can serve. Only roots read the
+	// store this often.
 	initialReadTimeout = 400 * time.Millisecond
 	longReadEvery      = 4
 	initialBackoff     = 250 * time.Millisecond
