--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -186,7 +186,10 @@
 	}
 	var keys []string
 	for key, at := range c.changedAt {
-		if _, exists := c.entries[key]; at > after && (exists || after > 0) {
+		if at <= after {
+			continue
+		}
+		if _, exists := c.entries[key]; exists || after > 0 {
 			keys = append(keys, key)
 		}
 	}
--- a/internal/statesync/narrowlink_test.go
+++ b/internal/statesync/narrowlink_test.go
@@ -24,6 +24,8 @@
 	linkDelay          = time.Millisecond
 	// tableApplyTime is the time within which an accepted table must be in force.
 	tableApplyTime = 5 * time.Second
+	// leavesPerService is the number of leaves of one service.
+	leavesPerService = 3
 )
 
 // segmentBytes is what one connection sends before it is the turn of the next.
@@ -238,7 +240,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		store := newFakeStore()
 		for i := range leaves {
-			store.put(fmt.Sprintf("servers/i-%010x", i), true)
+			store.putLeaf(fmt.Sprintf("servers/i-%010x", i), fmt.Sprintf("service-%d", i/leavesPerService), true)
 		}
 		store.putTable(1, 50)
 		var nodes []statesync.Node
@@ -283,7 +285,11 @@
 	inNarrowFleet(t, leaves, func(t *testing.T, f *narrowFleet) {
 		complete := 0
 		for _, c := range f.catalogs {
-			if len(c.View().Leaves["s"]) == leaves {
+			known := 0
+			for _, list := range c.View().Leaves {
+				known += len(list)
+			}
+			if known == leaves {
 				complete++
 			}
 		}
--- a/internal/statesync/watcher_test.go
+++ b/internal/statesync/watcher_test.go
@@ -56,14 +56,17 @@
 	return h.calls
 }
 
-// put writes the entry of a leaf, or removes it.
-func (h *fakeStore) put(id string, present bool) {
+// put writes the entry of a leaf of service s, or removes it.
+func (h *fakeStore) put(id string, present bool) { h.putLeaf(id, "s", present) }
+
+// putLeaf writes the entry of a leaf, or removes it.
+func (h *fakeStore) putLeaf(id, service string, present bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.revision++
 	c := catalog.Change{Key: id, Revision: h.revision}
 	if present {
-		c.Leaf = &catalog.Leaf{ID: id, Service: "s", Address: "127.0.0.1:1", DataCentre: "z", Slots: 1, Sequence: int64(h.revision)}
+		c.Leaf = &catalog.Leaf{ID: id, Service: service, Address: "127.0.0.1:1", DataCentre: "z", Slots: 1, Sequence: int64(h.revision)}
 		h.entries[id] = c
 	} else {
 		delete(h.entries, id)
