--- a/internal/statesync/narrowlink_test.go
+++ b/internal/statesync/narrowlink_test.go
@@ -210,29 +210,6 @@
 	return total
 }
 
-// putTable writes a table with a number of routes.
-func (h *fakeStore) putTable(version int64, routes int) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.revision++
-	t := &catalog.Table{Version: version, Services: map[string]*catalog.Service{"s": {Name: "s", MaxConns: 25, WarmupPerSecond: 1.5}}}
-	t.Limits = catalog.ClientLimits{BodyBytes: 1 << 20, IdleTimeout: time.Minute}
-	for i := range routes {
-		// The names on the wire are random, so that a route takes about 80 bytes.
-		name := fmt.Sprintf("%016x", uint64(i+1)*0x9e3779b97f4a7c15)
-		t.Routes = append(t.Routes, &catalog.Route{
-			Name: "r-" + name[:8], Host: name[8:14] + ".example", Prefix: "/" + name[4:12] + "/", Idempotent: true,
-			Timeout: 2500 * time.Millisecond, Objective: 250 * time.Millisecond, MaxAttempts: 3,
-			WeightedServices: []catalog.WeightedService{{Service: "s", Weight: 1}},
-		})
-	}
-	change := catalog.Change{Key: "table", Revision: h.revision, Table: t}
-	h.entries[change.Key] = change
-	h.log = append(h.log, change)
-	close(h.changed)
-	h.changed = make(chan struct{})
-}
-
 // inNarrowFleet runs a test in virtual time with a fleet of 58 nodes in 3 data centres, which
 // start at the same time.
 func inNarrowFleet(t *testing.T, leaves int, test func(t *testing.T, f *narrowFleet)) {
