Review case 4: one foreign entry takes a leaf out of use for good

Cause: an entry with a service that no configuration names is kept as the newest entry of its leaf. If its start time or sequence is greater, all later entries of the leaf itself are ignored as older.

Change: a script in which another writer overwrites the entries of one service's leaves once, and its claim.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(s *site, trouble bool) (outcome, error){
 	"unanswered-gathers": unansweredGathers,
 	"false-promise":      falsePromise,
+	"other-writer":       otherWriter,
 	"config-storm":       configStorm,
 }
 
