--- a/review/_standin/promise.go
+++ b/review/_standin/promise.go
@@ -13,11 +13,19 @@
 // falsePromise lets leaves fail part of the requests that they have run, with a status of their own,
 // and counts the requests that are not idempotent and are answered as not run.
 func falsePromise(s *site, trouble bool) (outcome, error) {
-	const leaves = 14
+	// The leaves fail requests for as long as the site file's own entry of this disruption lasts.
+	const leaves, before, lasts = 14, 7 * time.Second, 6500 * time.Millisecond
+	var from time.Time
 	zones := []string{"accra-tema", "accra-kaneshie", "accra-madina"}
 	s.config.addService("depot-ledger", 96)
-	failing := func(attempt string) int {
-		if !trouble {
+	// chosen are the leaves that fail; mu guards it.
+	var mu sync.Mutex
+	chosen := map[string]bool{}
+	failing := func(leaf, attempt string) int {
+		mu.Lock()
+		fails := chosen[leaf]
+		mu.Unlock()
+		if since := time.Since(from); !fails || since < 0 || since > lasts {
 			return 0
 		}
 		h := fnv.New32a()
@@ -32,10 +40,7 @@
 	}
 	for i := range leaves {
 		o := leafOptions{id: fmt.Sprintf("i-%02d", i), service: "depot-ledger", zone: zones[i%3], slots: 2, queue: 8, work: 60 * time.Millisecond}
-		if i < 2 {
-			// 2 of 14 leaves fail two fifths of their requests.
-			o.fail = failing
-		}
+		o.fail = func(attempt string) int { return failing(o.id, attempt) }
 		if err := s.addLeaf(o); err != nil {
 			return outcome{}, err
 		}
@@ -51,9 +56,21 @@
 	if err := s.start(); err != nil {
 		return outcome{}, err
 	}
-	var mu sync.Mutex
+	from = time.Now().Add(before)
+	if trouble {
+		// 2 of 14 leaves fail two fifths of their requests: those that have had most of them.
+		time.AfterFunc(before, func() {
+			busiest := s.log.busiest()[:2]
+			mu.Lock()
+			defer mu.Unlock()
+			for _, id := range busiest {
+				chosen[id] = true
+			}
+			s.log.sayf("leaves %v fail part of their requests for %v", busiest, lasts)
+		})
+	}
 	var all []*call
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
 	defer cancel()
 	s.load(ctx, s.nodes, 5, 300*time.Millisecond, func(c *client, _ int) *call {
 		return c.do(&order, http.MethodPost, fmt.Sprintf("%s%x", order.Prefix, rand.Uint32()), []byte(`{"panes": 4}`), 2500*time.Millisecond)
--- a/review/_standin/record.go
+++ b/review/_standin/record.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"sync"
 	"time"
 )
@@ -77,3 +80,18 @@
 	defer r.mu.Unlock()
 	return append([]runEvent(nil), r.runs[attempt]...)
 }
+
+// busiest returns the IDs of the leaves in the order of the requests that they have run, most first.
+func (r *record) busiest() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := map[string]int{}
+	for _, events := range r.runs {
+		for _, e := range events {
+			counts[e.leaf]++
+		}
+	}
+	return slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+}
