Log each failure of a leaf that is returned to a caller

The line "leaf failure returned to caller" was written only for failures after which a retry was considered, that is, for a leaf's own status of 500 or more. A leaf's 408 or 429 left no line at all, so that a caller's complaint about such a status could not be told from a refusal of the node itself. The line now stands for every leaf's answer with a status of 400 or more, with the leaf's own status and the one that the caller got.

--- a/internal/relay/divide.go
+++ b/internal/relay/divide.go
@@ -219,7 +219,7 @@
 			answerAt, pending = now.Add(lateAnswerInterval), false
 			a := q.mergeCalls(func(c *call) bool { return !sent[c] })
 			for _, c := range q.calls {
-				if c.answer != nil {
+				if c.answered != nil {
 					sent[c] = true
 				}
 			}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -17,7 +17,6 @@
 	"github.com/redwingshelf/redwingshelf/internal/catalog"
 	"github.com/redwingshelf/redwingshelf/internal/dispatch"
 	"github.com/redwingshelf/redwingshelf/internal/kind"
-	"github.com/redwingshelf/redwingshelf/internal/leafconn"
 	"github.com/redwingshelf/redwingshelf/internal/quarantine"
 	"github.com/redwingshelf/redwingshelf/internal/reqlog"
 )
@@ -228,7 +227,7 @@
 // answer writes the answer of a query.
 func (h *Handler) answer(w http.ResponseWriter, q *query) error {
 	if !q.request.gathered() {
-		return h.writeLeafAnswer(w, q.calls[0].answer)
+		return h.writeLeafAnswer(w, q.request, q.calls[0].answered, q.calls[0].answered.answer.Status)
 	}
 	return h.writeGathered(w, q, q.mergeParts())
 }
@@ -249,9 +248,9 @@
 	a := new(GatherAnswer)
 	var parts [][]byte
 	for _, c := range q.calls {
-		if c.answer != nil && include(c) {
-			a.Signatures = append(a.Signatures, c.signature)
-			parts = append(parts, c.answer.Body)
+		if c.answered != nil && include(c) {
+			a.Signatures = append(a.Signatures, c.answered.head.Signature)
+			parts = append(parts, c.answered.answer.Body)
 		}
 	}
 	a.Body = mergeTopK(parts, q.request.route.TopK)
@@ -277,8 +276,13 @@
 	return err
 }
 
-// writeLeafAnswer writes a leaf's answer unchanged.
-func (h *Handler) writeLeafAnswer(w http.ResponseWriter, answer *leafconn.Answer) error {
+// writeLeafAnswer writes a leaf's answer with the given status.
+func (h *Handler) writeLeafAnswer(w http.ResponseWriter, r *request, a *attempt, status int) error {
+	answer := a.answer
+	if status >= http.StatusBadRequest {
+		h.log.Note("leaf failure returned to caller", r.id, zap.String("leaf", a.pick.ID),
+			zap.Int("leaf_status", answer.Status), zap.Int("status", status), zap.Duration("after", time.Since(r.received)))
+	}
 	header := w.Header()
 	for name, values := range forwardedHeaders(answer.Header) {
 		header[name] = values
@@ -287,10 +291,10 @@
 		// A nil value keeps the server from adding a content type of its own.
 		header["Content-Type"] = nil
 	}
-	if bodyAllowed(answer.Status) {
+	if bodyAllowed(status) {
 		header["Content-Length"] = []string{strconv.Itoa(len(answer.Body))}
 	}
-	w.WriteHeader(answer.Status)
+	w.WriteHeader(status)
 	_, err := w.Write(answer.Body)
 	return err
 }
@@ -340,16 +344,12 @@
 	if q.request.gathered() || lastFailed == nil || lastFailed.answer == nil || lastFailed.head.NotRun || lastFailed.head.WrongLeaf || lastFailed.head.Successful {
 		return false
 	}
-	h.log.Note("leaf failure returned to caller", q.request.id, zap.String("leaf", lastFailed.pick.ID),
-		zap.Int("status", lastFailed.answer.Status), zap.Duration("after", time.Since(q.request.received)))
-	answer := lastFailed.answer
-	if answer.Status == http.StatusServiceUnavailable || answer.Status == http.StatusTooManyRequests {
-		changed := *answer
-		changed.Status = http.StatusBadGateway
-		h.dialect.RemoveSignature(changed.Header)
-		answer = &changed
+	status := lastFailed.answer.Status
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		status = http.StatusBadGateway
+		h.dialect.RemoveSignature(lastFailed.answer.Header)
 	}
-	if err := h.writeLeafAnswer(w, answer); err != nil {
+	if err := h.writeLeafAnswer(w, q.request, lastFailed, status); err != nil {
 		h.log.Note("failed to write answer", q.request.id, zap.Error(err))
 	}
 	return true
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -82,9 +82,9 @@
 	hedges         int
 	lastSent       time.Duration
 	nextHedgeCheck time.Duration
-	answer         *leafconn.Answer
-	signature      string
 	ended          bool
+	// answered is the attempt with the answer, or nil.
+	answered *attempt
 	// lastFailed is the most recent failed attempt.
 	lastFailed *attempt
 	// mayHaveRun is the number of ended attempts that a leaf may have run.
@@ -296,7 +296,7 @@
 	mayHaveRun := q.mayHaveRun()
 	var lastFailed *attempt
 	for _, c := range q.calls {
-		if c.ended && c.answer == nil && c.lastFailed != nil {
+		if c.ended && c.answered == nil && c.lastFailed != nil {
 			lastFailed = c.lastFailed
 		}
 	}
@@ -392,7 +392,7 @@
 		return
 	}
 	if a.outcome == leafpick.Answered {
-		c.ended, c.answer, c.signature = true, a.answer, a.head.Signature
+		c.ended, c.answered = true, a
 		q.ownAnswered++
 		q.addAnswered(1)
 		q.findStragglers()
