Don't pass on a leaf's own 408, 429 or 503 as the answer to a request that has run

Callers saw: a POST that may run only once was answered 408 or 429, which promise that it has not run, although a leaf had run it.

Cause: what a status promises was decided by which branch had written the answer. classify took every answer below 500 that is not marked as not run for an answer to the request, and such answers were written unchanged. Only failures were checked on the way out, and there for 503 and 429, not 408, so that a leaf's 429 never met the check. The same check in writeError lacked 408 and 421 too; no error of the node has these statuses today.

Change: one list of statuses that promise, promisesNotRun, used by all three places. A leaf's own failure with one of them is a failed attempt, like its 503 before: it is retried if the request may run again, counts against the leaf, and is otherwise returned as 502 without the leaf's signature. The check on the way out stands where the answer of a leaf is written, so that no path can avoid it.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -44,7 +44,7 @@
 		a.outcome, a.err, a.mayHaveRun = leafpick.Failed, errUnsigned, true
 	case a.head.Successful && a.head.Encoded:
 		a.outcome, a.err, a.mayHaveRun = leafpick.Failed, errEncoded, true
-	case a.head.Successful || !gathered && answer.Status < 500:
+	case a.head.Successful || !gathered && answer.Status < 500 && !promisesNotRun(answer.Status):
 		a.outcome, a.mayHaveRun = leafpick.Answered, true
 	default:
 		a.outcome, a.mayHaveRun = leafpick.Failed, true
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -227,7 +227,7 @@
 // answer writes the answer of a query.
 func (h *Handler) answer(w http.ResponseWriter, q *query) error {
 	if !q.request.gathered() {
-		return h.writeLeafAnswer(w, q.request, q.calls[0].answered, q.calls[0].answered.answer.Status)
+		return h.writeLeafAnswer(w, q.request, q.calls[0].answered)
 	}
 	return h.writeGathered(w, q, q.mergeParts())
 }
@@ -276,9 +276,15 @@
 	return err
 }
 
-// writeLeafAnswer writes a leaf's answer with the given status.
-func (h *Handler) writeLeafAnswer(w http.ResponseWriter, r *request, a *attempt, status int) error {
-	answer := a.answer
+// writeLeafAnswer writes the answer of a leaf that has run the request. It is unchanged, but for a
+// status that promises the opposite.
+func (h *Handler) writeLeafAnswer(w http.ResponseWriter, r *request, a *attempt) error {
+	answer, status := a.answer, a.answer.Status
+	if promisesNotRun(status) {
+		// The signature is valid only for the leaf's own status.
+		status = http.StatusBadGateway
+		h.dialect.RemoveSignature(answer.Header)
+	}
 	if status >= http.StatusBadRequest {
 		h.log.Note("leaf failure returned to caller", r.id, zap.String("leaf", a.pick.ID),
 			zap.Int("leaf_status", answer.Status), zap.Int("status", status), zap.Duration("after", time.Since(r.received)))
@@ -319,8 +325,7 @@
 		// The content may be harmless, so the caller may retry.
 		status = http.StatusServiceUnavailable
 	}
-	if mayHaveRun && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
-		// These statuses promise that the request has not run.
+	if mayHaveRun && promisesNotRun(status) {
 		status = http.StatusBadGateway
 	}
 	fields := []zap.Field{
@@ -344,12 +349,7 @@
 	if q.request.gathered() || lastFailed == nil || lastFailed.answer == nil || lastFailed.head.NotRun || lastFailed.head.WrongLeaf || lastFailed.head.Successful {
 		return false
 	}
-	status := lastFailed.answer.Status
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		status = http.StatusBadGateway
-		h.dialect.RemoveSignature(lastFailed.answer.Header)
-	}
-	if err := h.writeLeafAnswer(w, q.request, lastFailed, status); err != nil {
+	if err := h.writeLeafAnswer(w, q.request, lastFailed); err != nil {
 		h.log.Note("failed to write answer", q.request.id, zap.Error(err))
 	}
 	return true
