Take a signed 421 of a leaf for an answer to a request that has run

A leaf that has run a request and fails it with a 421 of its own signs it, as it signs its other failures; the request was then sent to a second leaf, and the caller got 503 at last, even for a request that may run only once.

Change: a 421 with the leaf's signature and without the mark of a rejection is the leaf's own failure.

--- a/internal/relay/promise_test.go
+++ b/internal/relay/promise_test.go
@@ -16,7 +16,7 @@
 	cases := []struct {
 		leaf, caller int
 	}{
-		{408, 502}, {429, 502}, {503, 502},
+		{408, 502}, {421, 502}, {429, 502}, {503, 502},
 		{400, 400}, {404, 404}, {409, 409}, {425, 425}, {500, 500}, {502, 502}, {504, 504},
 	}
 	for _, c := range cases {
--- a/internal/relay/relaytest/leaf.go
+++ b/internal/relay/relaytest/leaf.go
@@ -47,7 +47,7 @@
 func (Dialect) ReadAnswer(status int, h http.Header) relay.LeafAnswer {
 	return relay.LeafAnswer{
 		ID: h.Get(HeaderID), Signature: h.Get(HeaderSigned),
-		NotRun: h.Get(HeaderNotRun) != "", WrongLeaf: status == http.StatusMisdirectedRequest,
+		NotRun: h.Get(HeaderNotRun) != "", WrongLeaf: status == http.StatusMisdirectedRequest && h.Get(HeaderSigned) == "",
 		Encoded: h.Get("Content-Encoding") != "", Successful: status/100 == 2,
 	}
 }
