Keep a peer's word that leaves may have run a gather it has refused

A peer's answer to a gather says whether a leaf may have run the request; with a kind that means "not run" elsewhere the node forgot that and answered 503.

Result: the new case of TestDelegatesGather fails before (503 for 502) and passes now.

--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -146,9 +146,9 @@
 		return nil
 	}
 	k, _ := kind.Parse(a.Failed)
-	err := kind.Errorf(k, "%s", a.Text)
-	if !a.MayHaveRun {
-		err = kind.WithRun(err, kind.RunNo)
+	err := kind.WithRun(kind.Errorf(k, "%s", a.Text), kind.RunNo)
+	if a.MayHaveRun {
+		err = kind.WithRun(err, kind.RunUnknown)
 	}
 	return withRetryAfter(err, a.RetryAfter)
 }
--- a/internal/relay/delegate_test.go
+++ b/internal/relay/delegate_test.go
@@ -63,6 +63,9 @@
 		{"peer fails after a leaf may have run it", func(context.Context, *relay.GatherCall) (*relay.GatherAnswer, bool, error) {
 			return &relay.GatherAnswer{Failed: kind.CoverageTooLow.String(), Text: "4 of 12", MayHaveRun: true}, true, nil
 		}, leaves, 502, ""},
+		{"peer refuses after a leaf may have run it", func(context.Context, *relay.GatherCall) (*relay.GatherAnswer, bool, error) {
+			return &relay.GatherAnswer{Failed: kind.Overloaded.String(), Text: "no leaf accepted the request", MayHaveRun: true}, true, nil
+		}, leaves, 502, ""},
 		{"peer is overloaded", func(context.Context, *relay.GatherCall) (*relay.GatherAnswer, bool, error) {
 			return &relay.GatherAnswer{Failed: kind.Overloaded.String(), Text: "no capacity in time"}, true, nil
 		}, leaves, 503, ""},
