Promise "not run" in the own interface only on a peer's word

Three places took no account of what the peer had said, or that it had said nothing:

- The result of a holder: a refusal of a kind that usually means "not run" was taken for one, and the request sent to the next leaf, although the result said "unknown" or "yes".
- The answer of the process that holds a ticket: without a valid `run` the kind decided.
- The first call of a content that is staged: if the holder ended its answers without a result, the error was "no holder", run "no", and the content was sent again.

--- a/internal/entry/result.go
+++ b/internal/entry/result.go
@@ -42,9 +42,24 @@
 	return k
 }
 
-// resultError returns the error that a failed result reports.
+// resultError returns the error that a failed result reports. The leaf has not run the call only if the
+// result says so, whatever its kind usually means.
 func resultError(result *wire.LeafResult) error {
-	return kind.Errorf(resultKind(result), "%s", result.Message)
+	err := kind.Errorf(resultKind(result), "%s", result.Message)
+	if notRun(err) && reportedRun(result.Run) != kind.RunNo {
+		return kind.WithRun(err, kind.RunUnknown)
+	}
+	return err
+}
+
+// reportedRun returns what a peer reports about whether a request has run. A value that is missing or
+// unknown promises nothing.
+func reportedRun(run string) kind.Run {
+	switch r := kind.Run(run); r {
+	case kind.RunNo, kind.RunYes:
+		return r
+	}
+	return kind.RunUnknown
 }
 
 // streamError returns the failure of a stream to a holder as an error with a kind.
--- a/internal/entry/search_trial.go
+++ b/internal/entry/search_trial.go
@@ -116,8 +116,10 @@
 			err = resultError(receiver.result)
 		case sendErr != nil:
 			err = streamError(sendErr)
+		default:
+			err = noResultError(host)
 		}
-		if !otherHolderMaySucceed(kind.Of(err)) {
+		if !notRun(err) || !otherHolderMaySucceed(kind.Of(err)) {
 			return err
 		}
 	}
--- a/internal/entry/search_trial_test.go
+++ b/internal/entry/search_trial_test.go
@@ -25,6 +25,10 @@
 	mu sync.Mutex
 	// refused contains the kind with which a leaf refuses each call.
 	refused map[string]kind.Kind
+	// refusedRun is what refusals say about whether the call has run.
+	refusedRun kind.Run
+	// silent is set if calls end without a result.
+	silent bool
 	// called lists the leaves that were called, and permits the permits of the calls.
 	called  []string
 	permits []*quarantine.Permit
@@ -49,11 +53,14 @@
 	for _, leaf := range m.Leaves {
 		f.called = append(f.called, leaf)
 		f.permits = append(f.permits, m.Permit)
+		if f.silent {
+			continue
+		}
 		result := &wire.LeafResult{
 			RequestID: m.RequestID, Leaf: leaf, Snapshot: heldSnapshot.Snapshot, From: heldSnapshot.From, To: heldSnapshot.To, Body: []byte("{}"),
 		}
 		if k, refused := f.refused[leaf]; refused {
-			result = &wire.LeafResult{RequestID: m.RequestID, Leaf: leaf, Kind: k.String(), Run: string(kind.RunNo)}
+			result = &wire.LeafResult{RequestID: m.RequestID, Leaf: leaf, Kind: k.String(), Run: string(f.refusedRun)}
 		}
 		to.Result(result)
 	}
@@ -129,7 +136,7 @@
 	}
 	doc.Normalize()
 	index := document.NewIndex(doc)
-	fleet := &fakeFleet{index: index, refused: map[string]kind.Kind{}, verdict: quarantine.Stage}
+	fleet := &fakeFleet{index: index, refused: map[string]kind.Kind{}, refusedRun: kind.RunNo, verdict: quarantine.Stage}
 	r := &Request{
 		ID: "r", Customer: "adom", Service: "dispatch", Idempotent: true, Stage: true, Deadline: time.Now().Add(time.Second),
 		Fingerprint: quarantine.FingerprintOf("adom", "dispatch", "search", []byte("{}")),
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -122,7 +122,7 @@
 	err := s.holders.Scatter(ctx, host, m, &receiver)
 	result := receiver.result
 	if result == nil && err == nil {
-		err = kind.Errorf(kind.OutcomeUnknown, "holder %q returned no result", host.Name)
+		err = noResultError(host)
 	}
 	if result == nil {
 		return nil, submitError(streamError(err))
@@ -147,6 +147,11 @@
 // Result implements Receiver.
 func (s *singleResult) Result(r *wire.LeafResult) { s.result = r }
 
+// noResultError is the error of a call whose holder ended its answers without a result.
+func noResultError(host Host) error {
+	return kind.Errorf(kind.OutcomeUnknown, "holder %q returned no result", host.Name)
+}
+
 // submitError returns err if it proves that the request has not run, and an error
 // of kind OutcomeUnknown otherwise.
 func submitError(err error) error {
--- a/internal/entry/tickets.go
+++ b/internal/entry/tickets.go
@@ -210,7 +210,7 @@
 	if !known {
 		k = kind.OutcomeUnknown
 	}
-	return nil, kind.WithRun(kind.Errorf(k, "%s", result.Message), kind.Run(result.Run))
+	return nil, kind.WithRun(kind.Errorf(k, "%s", result.Message), reportedRun(result.Run))
 }
 
 // NewForwardResult returns the message for an answer or an error.
