Answer a failed gather of which the node gathers no part itself

Cause: writeLeafFailure looked at the first call of the query before it asked whether the request is a gather. A node whose peers gather all parts has no calls, so that it panicked, and net/http closed the connection.

Change: a gather has no failure of a single leaf, which is asked first.

--- a/internal/relay/divide_test.go
+++ b/internal/relay/divide_test.go
@@ -198,6 +198,24 @@
 	}
 }
 
+// TestFailedGatherWithoutOwnPartIsAnswered guards against a connection that is closed without an
+// answer when a gather fails of which the node's peers gather all parts.
+func TestFailedGatherWithoutOwnPartIsAnswered(t *testing.T) {
+	s, peers := dividedSetup(t, 0.9, shardAnswer)
+	s.handler.SetDelegation(relay.Delegation{
+		Groups: []relay.GatherGroup{{Members: []relay.Helper{{Name: "x", Address: "x"}, {Name: "y", Address: "y"}}, Capacity: 2}},
+		Alive:  map[string]bool{"x": true, "y": true, "self": true}, Self: "self",
+	})
+	require.Equal(t, 200, s.do(http.MethodGet, "/all/x", "").status)
+	require.Empty(t, s.asked())
+	for _, leaves := range peers["y"].leaves {
+		leaves[0].SetScript(relaytest.Answer(500, "sig", "failed"))
+	}
+	got := s.do(http.MethodGet, "/all/x", "")
+	assert.Equal(t, 502, got.status)
+	assert.Empty(t, s.asked())
+}
+
 // TestUnresponsivePeerGathersNoParts has a peer that stops answering. Its shards go to the other
 // members, although gathers are covered without them.
 func TestUnresponsivePeerGathersNoParts(t *testing.T) {
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -345,8 +345,12 @@
 // writeLeafFailure writes the failure that a leaf has answered to a request to a single
 // leaf. It returns false if there is none.
 func (h *Handler) writeLeafFailure(w http.ResponseWriter, q *query) bool {
+	if q.request.gathered() {
+		// The node may have no calls of its own.
+		return false
+	}
 	lastFailed := q.calls[0].lastFailed
-	if q.request.gathered() || lastFailed == nil || lastFailed.answer == nil || lastFailed.head.NotRun || lastFailed.head.WrongLeaf || lastFailed.head.Successful {
+	if lastFailed == nil || lastFailed.answer == nil || lastFailed.head.NotRun || lastFailed.head.WrongLeaf || lastFailed.head.Successful {
 		return false
 	}
 	if err := h.writeLeafAnswer(w, q.request, lastFailed); err != nil {
