--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -20,8 +20,9 @@
 var stateEvents = map[string]bool{
 	"table in force": true, "zone taken out": true, "following a source": true, "source does not answer": true,
 	"store answers again": true, "bounds shared out": true, "node started": true, "node ready": true, "node stopping": true,
-	"history of the store is lost, reading a snapshot":     true,
-	"outage of the store has ended, holding lapsed leaves": true,
+	"history of the store is lost, reading a snapshot":      true,
+	"changes in the store are too many, reading a snapshot": true,
+	"outage of the store has ended, holding lapsed leaves":  true,
 }
 
 // logLine is one line of a node's log.
--- a/internal/statesync/types.go
+++ b/internal/statesync/types.go
@@ -18,6 +18,10 @@
 // snapshot must be read instead.
 var ErrHistoryLost = errors.New("history after this revision is no longer available")
 
+// ErrUpdateTooLarge is returned if the changes after a revision are too many to be received. Asking
+// again would give the same changes and more, so a snapshot must be read instead.
+var ErrUpdateTooLarge = errors.New("changes after this revision are too many")
+
 // Store is a set of entries with a history of numbered revisions. It can be read and
 // watched.
 type Store interface {
@@ -26,7 +30,7 @@
 	Snapshot(ctx context.Context, answerWithin time.Duration) (*catalog.Snapshot, error)
 	// Watch returns the changes after a revision as soon as there are any, or an
 	// empty update once wait has passed. It fails with ErrHistoryLost if the store no
-	// longer has the changes.
+	// longer has the changes, and with ErrUpdateTooLarge if they are too many.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (*catalog.Update, error)
 }
 
--- a/internal/statesync/watcher.go
+++ b/internal/statesync/watcher.go
@@ -227,6 +227,10 @@
 		w.options.Logger.Warn("history of the store is lost, reading a snapshot", zap.Uint64("as_of", c.View().AsOf))
 		return false, w.readStore(ctx, readTimeout)
 	}
+	if errors.Is(err, ErrUpdateTooLarge) {
+		w.options.Logger.Warn("changes in the store are too many, reading a snapshot", zap.Uint64("as_of", c.View().AsOf), zap.Error(err))
+		return true, w.readStore(ctx, readTimeout)
+	}
 	if err != nil {
 		return false, err
 	}
