Don't let another writer's entry hide those that a leaf writes later

Cause: the entry of another writer, with a service that no configuration names, was kept as the leaf's newest entry. The leaf's own later ones were then ordered against it by the start time and sequence that stand in it, and ignored as older, against the order of the store's revisions and for good.

Change: start time and sequence order only entries of one leaf. With another service, or a start time in only one of the two, the order of the store holds. An entry that lacks the start time that the leaf has stated before lacks a field, and names no leaf; taken as valid it hid the leaf's own entries in the same way, such as that it leaves.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -252,6 +252,9 @@
 		if err := change.Leaf.Validate(); err != nil {
 			events = append(events, Event{Change: change, Ignored: err.Error()})
 			change.Leaf = nil
+		} else if known.Leaf != nil && change.Revision > known.Revision && change.Leaf.lacksStart(known.Leaf) {
+			events = append(events, Event{Change: change, Ignored: "the start time that the leaf has stated before is missing"})
+			change.Leaf = nil
 		}
 	}
 	removal := change.Table == nil && change.Leaf == nil && change.TakenOut == ""
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -83,6 +83,32 @@
 	}
 }
 
+// TestLeafReturnsAfterEntryOfAnotherWriter guards against an entry that another writer has put in the
+// place of a leaf's own hiding all entries that the leaf writes later.
+func TestLeafReturnsAfterEntryOfAnotherWriter(t *testing.T) {
+	own := func(revision uint64, sequence int64) catalog.Change { return leaf("a", revision, sequence, 9, false) }
+	for name, spoil := range map[string]func(l *catalog.Leaf){
+		"other service, later start": func(l *catalog.Leaf) { l.Service, l.Started, l.Sequence = "other", 40, 1 },
+		"other service, no start":    func(l *catalog.Leaf) { l.Service, l.Started, l.Sequence = "other", 0, 40 },
+		"other service, same start":  func(l *catalog.Leaf) { l.Service, l.Sequence = "other", 40 },
+		"no start":                   func(l *catalog.Leaf) { l.Started, l.Sequence = 0, 40 },
+		"invalid":                    func(l *catalog.Leaf) { l.Slots, l.Started, l.Sequence = 0, 40, 40 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			foreign := own(6, 5)
+			spoil(foreign.Leaf)
+			c := catalog.New()
+			c.Apply(0, update(0, own(5, 4)))
+			c.Apply(0, update(5, foreign))
+			assert.Empty(t, ids(c.View()), "the entry names no leaf")
+			c.Apply(0, update(6, own(7, 5)))
+			require.Equal(t, []string{"a"}, ids(c.View()))
+			c.Apply(0, update(7, own(8, 4)))
+			assert.EqualValues(t, 5, c.View().Leaves["s"][0].Sequence, "the leaf's entries keep their order")
+		})
+	}
+}
+
 func TestApplyRejectsGap(t *testing.T) {
 	c := catalog.New()
 	_, ok := c.Apply(0, update(3, leaf("a", 4, 1, 0, false)))
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -134,14 +134,22 @@
 }
 
 // olderThan reports whether l was written before other by the same process, or by an earlier
-// process with the same ID.
+// process with the same ID. The fields order only the entries of one leaf: if the service differs, or
+// only one entry has a start time, one of them is of another writer, and the order of the history
+// holds.
 func (l *Leaf) olderThan(other *Leaf) bool {
-	if l.Started != other.Started && l.Started != 0 && other.Started != 0 {
+	switch {
+	case l.Service != other.Service || l.lacksStart(other) || other.lacksStart(l):
+		return false
+	case l.Started != other.Started:
 		return l.Started < other.Started
 	}
 	return l.Sequence < other.Sequence
 }
 
+// lacksStart reports whether l lacks the start time that another entry of the leaf has.
+func (l *Leaf) lacksStart(other *Leaf) bool { return l.Started == 0 && other.Started != 0 }
+
 // Process identifies one process of a leaf. A leaf that starts again, also under its old ID, is
 // another process.
 type Process struct {
