Close the connection of a request that is given up without an answer

Callers saw: "200 OK" with an empty body for a request that a leaf was still running, if they had closed their sending side after it, and for one whose body was truncated or broken.

Cause: for a caller that is taken to be gone the handler returned without writing anything, and net/http then answers with an empty 200.

Change: such a request ends with its connection, which promises nothing. A peer's word that it has given up a gather is an error of the peer (502), since this node's caller is still there.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -109,6 +109,10 @@
 	}
 	q, err := h.serve(w, r, received)
 	h.metrics.record(q, err, time.Since(received))
+	if kind.Of(err) == kind.Canceled {
+		// If the handler returned, the server would send an empty success.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, received time.Time) (*query, error) {
@@ -127,7 +131,11 @@
 	defer q.release()
 	if answer := q.delegateWhole(r.Context()); answer != nil {
 		q.delegated = answer
-		if err := answer.err(); err != nil {
+		err := answer.err()
+		if kind.Of(err) == kind.Canceled && r.Context().Err() == nil {
+			err = kind.Errorf(kind.ConnectionLost, "the peer has given up the gather: %w", err)
+		}
+		if err != nil {
 			h.writeError(w, request, nil, err)
 			return q, err
 		}
@@ -313,7 +321,7 @@
 func (h *Handler) writeError(w http.ResponseWriter, r *request, q *query, err error) {
 	k := kind.Of(err)
 	if k == kind.Canceled {
-		h.log.Note("caller disconnected", r.id, zap.Duration("after", time.Since(r.received)))
+		h.log.Note("caller disconnected", r.id, zap.Error(err), zap.Duration("after", time.Since(r.received)))
 		return
 	}
 	if q != nil && h.writeLeafFailure(w, q) {
