--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -133,6 +133,7 @@
 		q.delegated = answer
 		err := answer.err()
 		if kind.Of(err) == kind.Canceled && r.Context().Err() == nil {
+			// The caller still waits for an answer.
 			err = kind.Errorf(kind.ConnectionLost, "the peer has given up the gather: %w", err)
 		}
 		if err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -111,6 +112,9 @@
 	}
 }
 
+// promises are the statuses that promise that a request has not run.
+var promises = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
 // checkRefusals checks that no refused request has run.
 func (v *verifier) checkRefusals() {
 	ran := map[string]bool{}
@@ -118,7 +122,7 @@
 		ran[r.Attempt] = true
 	}
 	for _, r := range v.exchanges {
-		if (r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests) && ran[r.id] {
+		if slices.Contains(promises, r.status) && ran[r.id] {
 			v.t.Errorf("request %s to %s was refused with %d and has run", r.id, r.path, r.status)
 		}
 	}
