Have leaves fail requests in each seed of the soak

Change: the leaves of the routes to single leaves fail three of ten requests for one second at the beginning of each seed.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -236,6 +236,21 @@
 	})
 }
 
+// failRequests has the leaves of the routes to single leaves fail part of their requests for a second.
+// Drawn faults do that too, but not in each seed.
+func (inj *injector) failRequests() {
+	setFaults := func(f platformtest.LeafFaults) {
+		for _, l := range inj.site.leaves {
+			if l.options.Service == "ledger" {
+				l.leaf.SetFaults(f)
+			}
+		}
+	}
+	setFaults(platformtest.LeafFaults{Fail: 0.3})
+	time.Sleep(time.Second)
+	setFaults(platformtest.LeafFaults{})
+}
+
 func (inj *injector) leafLinkFault() {
 	inj.withLeaf(func(l *leafEndpoint) {
 		faults := []faultproxy.Faults{
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -52,6 +52,7 @@
 	defer endFaults()
 	traffic, endTraffic := context.WithCancel(context.Background())
 	c := startCallers(traffic, s, min(4*len(s.nodes), maxCallers), seed)
+	inj.failRequests()
 	inj.run(faults, 3)
 	healed := time.Now()
 	time.Sleep(settleTime)
