Share a leaf's connections fairly among tenants of one priority

Requests that wait for a connection were served by priority, the newest first. With tenants, one that sends many times as much as the others would take all connections. Waiters of the same priority are now ordered by start-time fair queueing over the tenants of their requests, by the same code as the queues of leaves in the own interface (admission.Fairness); requests without a tenant are served as before.

A request can have a check that is called after it got its connection; one that may no longer be sent is withheld.

--- a/internal/admission/fairness.go
+++ b/internal/admission/fairness.go
@@ -10,24 +10,25 @@
 	customer string
 }
 
-// fairness assigns the start tags of start-time fair queueing. Within a class, the
+// Fairness assigns the start tags of start-time fair queueing. Within a class, the
 // calls of customers that have received less service are served first.
-type fairness struct {
+type Fairness struct {
 	// virtualTime is the highest start tag of the calls served so far, by class.
-	virtualTime []float64
+	virtualTime map[int]float64
 	// finish holds the finish tag of the last call of each flow.
 	finish map[flowKey]float64
 }
 
-func newFairness(classes int) fairness {
-	return fairness{
-		virtualTime: make([]float64, classes),
+// NewFairness returns a Fairness without flows.
+func NewFairness() *Fairness {
+	return &Fairness{
+		virtualTime: make(map[int]float64),
 		finish:      make(map[flowKey]float64),
 	}
 }
 
-// assignTag returns the start tag of a call and adds its cost to the flow.
-func (f *fairness) assignTag(class int, customer string, cost float64) float64 {
+// AssignTag returns the start tag of a call and adds its cost to the flow.
+func (f *Fairness) AssignTag(class int, customer string, cost float64) float64 {
 	key := flowKey{class, customer}
 	start := max(f.virtualTime[class], f.finish[key])
 	if len(f.finish) >= maxFlows {
@@ -37,14 +38,14 @@
 	return start
 }
 
-// advance moves the virtual time of a class forward to the start tag of a call that
+// Advance moves the virtual time of a class forward to the start tag of a call that
 // is served.
-func (f *fairness) advance(class int, start float64) {
+func (f *Fairness) Advance(class int, start float64) {
 	f.virtualTime[class] = max(f.virtualTime[class], start)
 }
 
-// refund subtracts the cost of a call that did not run from its flow.
-func (f *fairness) refund(class int, customer string, cost float64) {
+// Refund subtracts the cost of a call that did not run from its flow.
+func (f *Fairness) Refund(class int, customer string, cost float64) {
 	key := flowKey{class, customer}
 	if finish, ok := f.finish[key]; ok {
 		f.finish[key] = finish - cost
@@ -54,7 +55,7 @@
 // evictIdle removes the flows that would be treated the same if they were new. If
 // more than half of maxFlows remain, it removes all, so that their number stays
 // bounded.
-func (f *fairness) evictIdle() {
+func (f *Fairness) evictIdle() {
 	for key, finish := range f.finish {
 		if finish <= f.virtualTime[key.class] {
 			delete(f.finish, key)
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -71,7 +71,7 @@
 	serviceTime time.Duration
 	seq         uint64
 	queue       queue
-	fair        fairness
+	fair        *Fairness
 	gate        gate
 	running     map[uint64]running
 	started     []Item
@@ -84,7 +84,7 @@
 	return &Scheduler{
 		cfg:     cfg,
 		slots:   max(cfg.Slots, 0),
-		fair:    newFairness(cfg.Classes),
+		fair:    NewFairness(),
 		gate:    newGate(cfg.Utilization),
 		running: make(map[uint64]running),
 	}
@@ -223,8 +223,8 @@
 }
 
 func (s *Scheduler) startNow(now time.Duration, it Item) {
-	start := s.fair.assignTag(it.Class, it.Customer, s.cost(it))
-	s.fair.advance(it.Class, start)
+	start := s.fair.AssignTag(it.Class, it.Customer, s.cost(it))
+	s.fair.Advance(it.Class, start)
 	s.running[it.ID] = running{started: now, estimate: s.estimate(it)}
 }
 
@@ -258,7 +258,7 @@
 	*e = entry{
 		item:        it,
 		seq:         s.seq,
-		startTag:    s.fair.assignTag(it.Class, it.Customer, cost),
+		startTag:    s.fair.AssignTag(it.Class, it.Customer, cost),
 		cost:        cost,
 		rank:        rank(it),
 		latestStart: min(now+s.cfg.MaxWait, it.Deadline-s.estimate(it)),
@@ -307,7 +307,7 @@
 	}
 	for len(s.queue.entries) > 0 && len(s.running) < s.slots {
 		e := s.queue.remove(0)
-		s.fair.advance(e.item.Class, e.startTag)
+		s.fair.Advance(e.item.Class, e.startTag)
 		s.running[e.item.ID] = running{started: now, estimate: s.estimate(e.item)}
 		s.started = append(s.started, e.item)
 	}
@@ -331,5 +331,5 @@
 // drop removes the call at index at from the queue without running it.
 func (s *Scheduler) drop(at int) {
 	e := s.queue.remove(at)
-	s.fair.refund(e.item.Class, e.item.Customer, e.cost)
+	s.fair.Refund(e.item.Class, e.item.Customer, e.cost)
 }
--- a/internal/leafconn/exchange.go
+++ b/internal/leafconn/exchange.go
@@ -45,6 +45,12 @@
 	// MaxIdle is the maximum time that the connection may have been idle; zero sets no
 	// limit.
 	MaxIdle time.Duration
+	// Check is called before the request is sent, after it may have waited for a connection. If
+	// it fails, the request is not sent. It may be nil.
+	Check func() error
+	// Tenant is the tenant of the request; waiting requests of the same priority share the
+	// connections fairly by tenant.
+	Tenant string
 	// Priority is the priority of the request among those that wait for a connection; 0
 	// is the most urgent.
 	Priority int
@@ -173,10 +179,10 @@
 	for {
 		c, err := p.acquire(ctx, r)
 		if err == nil {
-			err = p.checkUsable(c)
+			err = p.checkUsable(c, r)
 		}
 		if err != nil {
-			withheld := errors.Is(err, errClosed) || errors.Is(err, errPaused) || errors.Is(err, errNoFreeConn)
+			withheld := errors.Is(err, errClosed) || errors.Is(err, errPaused) || errors.Is(err, errNoFreeConn) || errors.Is(err, errForbidden)
 			return nil, nil, &Error{NotConnected: !withheld, Withheld: withheld, Err: fmt.Errorf("connect: %w", err)}
 		}
 		e := &exchange{request: r, started: time.Now(), written: make(chan struct{}), done: make(chan result, 1)}
@@ -189,11 +195,16 @@
 }
 
 // checkUsable releases a connection and returns an error if the pool was closed or paused while
-// the connection was opened.
-func (p *Pool) checkUsable(c *conn) error {
+// the connection was opened, or if the request may no longer be sent.
+func (p *Pool) checkUsable(c *conn, r *Request) error {
 	p.mu.Lock()
 	err := p.unusable(time.Now())
 	p.mu.Unlock()
+	if err == nil && r.Check != nil {
+		if forbidden := r.Check(); forbidden != nil {
+			err = fmt.Errorf("%w: %w", errForbidden, forbidden)
+		}
+	}
 	if err != nil {
 		p.release(c)
 	}
--- a/internal/leafconn/pool.go
+++ b/internal/leafconn/pool.go
@@ -5,10 +5,10 @@
 	"errors"
 	"fmt"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
+	"github.com/redwingshelf/redwingshelf/internal/admission"
 	"github.com/redwingshelf/redwingshelf/internal/leafpick"
 	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 )
@@ -29,6 +29,8 @@
 	errPaused = errors.New("leaf wants no requests for some time")
 	// errNoFreeConn means that the context of a call ended before a connection was free.
 	errNoFreeConn = errors.New("no connection to the leaf became free")
+	// errForbidden means that the request may no longer be sent.
+	errForbidden = errors.New("request may no longer be sent")
 	// errLimitReached means that no further connection may be opened.
 	errLimitReached = errors.New("connection limit of the leaf reached")
 )
@@ -45,8 +47,11 @@
 	// open is the number of open and reserved connections.
 	open    int
 	idle    []*conn
-	waiters []waiter
-	closed  bool
+	waiters []*waiter
+	// fair orders the waiters of the same priority by their tenants. It is nil as long as no
+	// request has a tenant.
+	fair   *admission.Fairness
+	closed bool
 	// pausedUntil is the end of the time in which no request is sent.
 	pausedUntil time.Time
 	// conns are the open connections.
@@ -56,13 +61,6 @@
 	onIdleClosed func()
 }
 
-// waiter is a request that waits for a connection.
-type waiter struct {
-	priority int
-	// granted receives a connection, or nil as the permission to open one.
-	granted chan *conn
-}
-
 // NewPool returns a pool without connections. limit is the maximum number of connections.
 // Idle ones stay open if keepIdle is set. The bodies of answers are limited by memory.
 func NewPool(address string, limit int, keepIdle bool, memory *memlimit.Memory) *Pool {
@@ -123,6 +121,7 @@
 // failWaiters fails all requests that wait for a connection. The pool's mutex is held.
 func (p *Pool) failWaiters() {
 	for _, w := range p.waiters {
+		p.refund(w)
 		close(w.granted)
 	}
 	p.waiters = nil
@@ -183,6 +182,7 @@
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 		if now.Before(c.usableUntil) && (r.MaxIdle <= 0 || now.Sub(c.idleSince) <= r.MaxIdle) {
+			p.countServed(r)
 			p.mu.Unlock()
 			return c, nil
 		}
@@ -190,11 +190,11 @@
 	}
 	if p.open < p.limit {
 		p.open++
+		p.countServed(r)
 		p.mu.Unlock()
 		return p.dial(ctx)
 	}
-	w := waiter{priority: r.Priority, granted: make(chan *conn, 1)}
-	p.waiters = append(p.waiters, w)
+	w := p.addWaiter(r)
 	p.mu.Unlock()
 	select {
 	case c, ok := <-w.granted:
@@ -222,10 +222,11 @@
 }
 
 // cancelWaiter removes a waiter, and releases what it was granted in the meantime.
-func (p *Pool) cancelWaiter(w waiter) {
+func (p *Pool) cancelWaiter(w *waiter) {
 	p.mu.Lock()
 	for i, other := range p.waiters {
 		if other == w {
+			p.refund(w)
 			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
 			p.mu.Unlock()
 			return
@@ -257,20 +258,6 @@
 	return c, nil
 }
 
-// popWaiter removes and returns the most urgent waiter, the newest one among equals: under
-// overload, the oldest are too late in any case. The pool's mutex is held.
-func (p *Pool) popWaiter() waiter {
-	next := len(p.waiters) - 1
-	for i := next - 1; i >= 0; i-- {
-		if p.waiters[i].priority < p.waiters[next].priority {
-			next = i
-		}
-	}
-	w := p.waiters[next]
-	p.waiters = slices.Delete(p.waiters, next, next+1)
-	return w
-}
-
 // releaseReservation passes the permission to open a connection on to the next waiter, or
 // frees it if there is none.
 func (p *Pool) releaseReservation() {
