Know tenants, and an upper bound of the age of the routing table

The watcher states for how long the store may have had something newer than the catalog: it counts from when the store was asked, and through peers from when the request was sent, on a clock that counts suspensions. Age, which counts from the answer, is too short while answers are delayed.

--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -22,7 +22,9 @@
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	t.shards = shardPositions(t.Routes)
-	return nil
+	var err error
+	t.byCredential, t.byTenantName, err = indexTenants(t.Tenants)
+	return err
 }
 
 // ShardPosition returns the position of a service among the shards of a route; it is zero for a
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -22,8 +22,12 @@
 	Routes   []*Route
 	Services map[string]*Service
 	Limits   ClientLimits
-	byHost   map[string][]*Route
-	shards   map[string]ShardPosition
+	// Tenants are the tenants whose keys are valid. If there are none, requests need no key.
+	Tenants      []*Tenant
+	byHost       map[string][]*Route
+	shards       map[string]ShardPosition
+	byCredential map[Credential]*Tenant
+	byTenantName map[string]*Tenant
 }
 
 // ShardPosition is the position of a service among the shards of a route.
@@ -59,6 +63,8 @@
 	TopK int
 	// MinCoverage is the minimum fraction of the shards in a gathered answer, 0 to 1.
 	MinCoverage float64
+	// Open is set if requests need no key.
+	Open bool
 }
 
 // WeightedService is a service with its weight among those of a route.
--- a/internal/statesync/server.go
+++ b/internal/statesync/server.go
@@ -20,19 +20,20 @@
 // MaxWait of the request.
 func (w *Watcher) ServeChanges(ctx context.Context, req *Request) *Reply {
 	c, process := w.options.Catalog, w.options.Process
+	arrived := w.options.BootTime()
 	timer := time.NewTimer(min(req.MaxWait, maxWait))
 	defer timer.Stop()
 	for {
 		sequence, next := c.Watch()
 		if req.Process != process || req.Sequence < sequence || w.unusableFor(req.Requester) {
-			return w.reply(process, req, c)
+			return w.reply(arrived, req)
 		}
 		select {
 		case <-next:
 		case <-timer.C:
-			return w.reply(process, req, c)
+			return w.reply(arrived, req)
 		case <-ctx.Done():
-			return w.reply(process, req, c)
+			return w.reply(arrived, req)
 		}
 	}
 }
@@ -52,7 +53,11 @@
 // path from the store to the peer, the peer included.
 func maxAge(nodes int) time.Duration { return maxDirectAge + time.Duration(nodes-1)*maxAgePerHop }
 
-func (w *Watcher) reply(process string, req *Request, c *catalog.Catalog) *Reply {
+// reply returns the reply to a request that arrived at a boot time.
+func (w *Watcher) reply(arrived time.Duration, req *Request) *Reply {
+	c, process := w.options.Catalog, w.options.Process
+	// The catalog may become newer after this, but not older.
+	verified := w.verified.Load()
 	var p *catalog.Page
 	if req.Process == process {
 		p = c.Since(req.Sequence, maxReplyEntries)
@@ -71,6 +76,7 @@
 		age = unknownAge
 	}
 	r.Age = age
+	r.Verified, r.VerifiedAgo = verified != 0, arrived-time.Duration(verified)
 	if path := w.path.Load(); path != nil {
 		r.Path = *path
 	}
--- a/internal/statesync/table.go
+++ b/internal/statesync/table.go
@@ -71,11 +71,12 @@
 	Routes   []*catalog.Route
 	Services []*catalog.Service
 	Limits   catalog.ClientLimits
+	Tenants  []*catalog.Tenant
 }
 
 func encodeTable(change catalog.Change) (*encodedTable, error) {
 	t := change.Table
-	message := tableMessage{Version: t.Version, Routes: t.Routes, Limits: t.Limits}
+	message := tableMessage{Version: t.Version, Routes: t.Routes, Limits: t.Limits, Tenants: t.Tenants}
 	for _, s := range t.Services {
 		message.Services = append(message.Services, s)
 	}
@@ -121,7 +122,7 @@
 		return catalog.Change{}, errors.New("table has an empty service or route")
 	}
 	t := &catalog.Table{
-		Version: message.Version, Routes: message.Routes, Limits: message.Limits,
+		Version: message.Version, Routes: message.Routes, Limits: message.Limits, Tenants: message.Tenants,
 		Services: make(map[string]*catalog.Service, len(message.Services)),
 	}
 	for _, s := range message.Services {
--- a/internal/statesync/table_test.go
+++ b/internal/statesync/table_test.go
@@ -83,7 +83,7 @@
 		cancel()
 		time.Sleep(5 * time.Second)
 		assert.True(t, reflect.DeepEqual(table, c.View().Table), "the table has arrived as it was")
-		assert.Equal(t, 4, exportedFields(table), "each field of a table is encoded")
+		assert.Equal(t, 5, exportedFields(table), "each field of a table is encoded")
 		size := source.ServeChanges(t.Context(), &statesync.Request{}).Table.Bytes
 		assert.Equal(t, size, received, "no part was received twice")
 	})
@@ -126,7 +126,7 @@
 		require.NoError(t, w.Close())
 		return b.Bytes()
 	}
-	valid := compress([]byte{0x94, 7, 0xc0, 0xc0, 0x92, 0, 0})
+	valid := compress([]byte{0x95, 7, 0xc0, 0xc0, 0x92, 0, 0, 0xc0})
 	cases := []struct {
 		name   string
 		data   []byte
@@ -136,7 +136,7 @@
 	}{
 		{"valid", valid, func(*statesync.TableInfo) {}, 1, true},
 		{"other digest", valid, func(i *statesync.TableInfo) { i.Digest[0]++ }, 1, false},
-		{"empty services and routes", compress([]byte{0x94, 7, 0x91, 0xc0, 0x91, 0xc0, 0x92, 0, 0}), func(*statesync.TableInfo) {}, 1, false},
+		{"empty services and routes", compress([]byte{0x95, 7, 0x91, 0xc0, 0x91, 0xc0, 0x92, 0, 0, 0xc0}), func(*statesync.TableInfo) {}, 1, false},
 		{"not compressed", []byte{0x94, 7}, func(*statesync.TableInfo) {}, 1, false},
 		{"not msgpack", compress([]byte{0xc1}), func(*statesync.TableInfo) {}, 1, false},
 		{"expands without bound", compress(make([]byte, 64<<20)), func(*statesync.TableInfo) {}, 100, false},
--- a/internal/statesync/types.go
+++ b/internal/statesync/types.go
@@ -66,6 +66,12 @@
 	// Age is the time since the catalog was last known to hold everything that the
 	// store had.
 	Age time.Duration
+	// Verified is set if the catalog is known to hold everything that the store had at some
+	// time, which was VerifiedAgo before this request arrived, or after it if negative. Unlike
+	// Age, it is never too short, whatever delays a message: it counts from when the store was
+	// asked, and the requester counts from when it sent its request.
+	Verified    bool
+	VerifiedAgo time.Duration
 	// Path are the processes that the catalog's state came through, the nearest to the
 	// store first. A node that finds itself there would follow itself.
 	Path []string
--- a/internal/statesync/watcher.go
+++ b/internal/statesync/watcher.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/redwingshelf/redwingshelf/internal/bootclock"
 	"github.com/redwingshelf/redwingshelf/internal/catalog"
 	"github.com/redwingshelf/redwingshelf/internal/periodic"
 )
@@ -78,6 +79,11 @@
 	// MaxTableDeferral is how long after its acceptance a table may be deferred until
 	// its leaves are warm.
 	MaxTableDeferral time.Duration
+	// MaxWatchWait bounds how long the store may hold a watch; zero means watchWait.
+	MaxWatchWait time.Duration
+	// BootTime returns the time on a clock that counts suspensions of the host; nil means
+	// bootclock.Now.
+	BootTime func() time.Duration
 	// OnChange is called after the catalog has changed.
 	OnChange func()
 	Logger   *zap.Logger
@@ -93,6 +99,9 @@
 	// confirmed is the last time at which the store is known to have had nothing newer
 	// than the catalog, in nanoseconds since start; zero before the first answer.
 	confirmed atomic.Int64
+	// verified is the boot time at which a call of the store began whose answer the catalog
+	// holds, in nanoseconds; zero before the first answer.
+	verified atomic.Int64
 	// path are the processes on the path from the store to this one.
 	path atomic.Pointer[[]string]
 	// mu guards upstream and root.
@@ -124,6 +133,9 @@
 
 // NewWatcher returns a watcher that follows the store; Run starts it.
 func NewWatcher(o Options) *Watcher {
+	if o.BootTime == nil {
+		o.BootTime = bootclock.Now
+	}
 	return &Watcher{
 		options: o, start: time.Now(), root: true,
 		retryAt: map[string]time.Duration{}, cursors: map[string]Request{},
@@ -145,6 +157,21 @@
 	return w.now() - time.Duration(confirmed), confirmed != 0
 }
 
+// VerifiedAge returns an upper bound of the time since the store had nothing newer than the
+// catalog, and false before the first answer. It counts suspensions of the host, and all delays of
+// messages between the store and this node.
+func (w *Watcher) VerifiedAge() (time.Duration, bool) {
+	verified := w.verified.Load()
+	return w.options.BootTime() - time.Duration(verified), verified != 0
+}
+
+// verify records that the catalog holds everything that the store had at a boot time.
+func (w *Watcher) verify(at time.Duration) {
+	if int64(at) > w.verified.Load() {
+		w.verified.Store(int64(at))
+	}
+}
+
 func (w *Watcher) now() time.Duration { return time.Since(w.start) }
 
 // Run follows the sources until ctx ends.
@@ -218,10 +245,14 @@
 		return false, w.readStore(ctx, readTimeout)
 	}
 	wait := watchWait
+	if w.options.MaxWatchWait > 0 {
+		wait = min(wait, w.options.MaxWatchWait)
+	}
 	if w.storeFailing {
 		// Without a wait, a store that still does not answer is detected sooner.
 		wait = 0
 	}
+	asked := w.options.BootTime()
 	u, err := w.options.Store.Watch(ctx, c.View().AsOf, wait)
 	if errors.Is(err, ErrHistoryLost) {
 		w.options.Logger.Warn("history of the store is lost, reading a snapshot", zap.Uint64("as_of", c.View().AsOf))
@@ -240,6 +271,7 @@
 	if !complete {
 		return false, w.readStore(ctx, readTimeout)
 	}
+	w.verify(asked)
 	w.report(events, u.AsOf)
 	return len(u.Changes) > 0, nil
 }
@@ -249,6 +281,7 @@
 func (w *Watcher) uninitialized() bool { return !w.storeRead && w.options.Catalog.View().AsOf == 0 }
 
 func (w *Watcher) readStore(ctx context.Context, answerWithin time.Duration) error {
+	asked := w.options.BootTime()
 	s, err := w.options.Store.Snapshot(ctx, answerWithin)
 	if err != nil {
 		return err
@@ -256,7 +289,9 @@
 	w.deferTables()
 	w.markStoreReachable(s.Answered)
 	w.storeRead = true
-	w.report(w.options.Catalog.Replace(w.now(), s), s.AsOf)
+	events := w.options.Catalog.Replace(w.now(), s)
+	w.verify(asked)
+	w.report(events, s.AsOf)
 	return nil
 }
 
@@ -312,6 +347,7 @@
 // followPeer requests changes from a peer once. If the peer has a newer table, it fetches parts
 // of it too.
 func (w *Watcher) followPeer(ctx context.Context, address string) (changed bool, err error) {
+	asked := w.options.BootTime()
 	r, err := w.fetchChanges(ctx, address)
 	if err != nil {
 		return false, err
@@ -339,6 +375,9 @@
 	if lacksTable {
 		w.options.Catalog.Merge(w.now(), nil, r.AsOf)
 	}
+	if r.Verified {
+		w.verify(asked - r.VerifiedAgo)
+	}
 	if r.Age > limit {
 		return false, fmt.Errorf("%w: its catalog is %v old, more than %v", errStalePeer, r.Age, limit)
 	}
