Identify tenants by keys, revoke keys strictly, and keep quotas

Routes that are not open need a key where the configuration has tenants. The key never reaches a leaf or a peer, the claimed tenant is always replaced. A node whose table may be too old refuses requests with keys (503) and isn't ready; the key is checked again before each attempt and after a wait for a connection. Requests of limited tenants need a credit (429 with the time until there is one).

--- a/internal/kind/kind.go
+++ b/internal/kind/kind.go
@@ -40,6 +40,9 @@
 	OutcomeUnknown
 	AlreadyRunning
 	NotFound
+	Unauthorized
+	StaleConfiguration
+	QuotaExceeded
 	numKinds
 )
 
@@ -96,6 +99,11 @@
 	OutcomeUnknown:   {"outcome_unknown", http.StatusBadGateway, RunUnknown, false, true},
 	AlreadyRunning:   {"already_running", http.StatusConflict, RunUnknown, true, false},
 	NotFound:         {"not_found", http.StatusNotFound, RunNo, false, false},
+	Unauthorized:     {"unauthorized", http.StatusUnauthorized, RunNo, false, false},
+	// StaleConfiguration refuses a request of which the node can't tell whether it is still
+	// allowed; another node may know.
+	StaleConfiguration: {"stale_configuration", http.StatusServiceUnavailable, RunNo, true, true},
+	QuotaExceeded:      {"quota_exceeded", http.StatusTooManyRequests, RunNo, true, false},
 }
 
 // statusClientClosedRequest is the non-standard status of a request that the
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -107,11 +107,11 @@
 // there is no usable leaf or no retry budget.
 func (q *query) sendAttempt(c *call, isHedge bool) bool {
 	s := q.handler.services.get(c.service)
-	if s == nil {
+	if s == nil || q.handler.checkAccess(q.request) != nil {
 		return false
 	}
 	opts := leafpick.CallOptions{
-		Mean: q.state.meanLatency(), NonIdempotent: !q.request.route.Idempotent, Hedge: isHedge, Priority: q.request.route.Priority,
+		Mean: q.state.meanLatency(), NonIdempotent: !q.request.route.Idempotent, Hedge: isHedge, Priority: q.request.priority(),
 	}
 	for _, a := range c.attempts {
 		opts.Tried = append(opts.Tried, a.pick.ID)
@@ -139,7 +139,8 @@
 	r := q.request
 	var sendRecord *quarantine.SentContent
 	request := &leafconn.Request{
-		Method: r.method, URI: r.uri, Host: r.host, Body: r.body, Priority: r.route.Priority,
+		Method: r.method, URI: r.uri, Host: r.host, Body: r.body, Priority: r.priority(), Tenant: r.tenantName(),
+		Check: func() error { return q.handler.checkAccess(r) },
 		Header: func() http.Header {
 			sendRecord = a.serviceState.sendRecord(p, r, a.contentFingerprint)
 			header := maps.Clone(r.header)
--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/redwingshelf/redwingshelf/internal/catalog"
 	"github.com/redwingshelf/redwingshelf/internal/kind"
 	"github.com/redwingshelf/redwingshelf/internal/leafpick"
 )
@@ -43,6 +44,10 @@
 	Shards []string
 	// Leaving are leaves that the sender has recently learnt to be leaving.
 	Leaving []leafpick.Departure
+	// Tenant is the name of the request's tenant, and Credential identifies its key. They are
+	// empty if the request needs no key.
+	Tenant     string
+	Credential *catalog.Credential
 }
 
 // GatherAnswer is a gathered answer, or the failure to gather one. If a part is gathered, several
@@ -116,12 +121,16 @@
 // answer if shards is empty. within is the time until a partial answer of the peer is due.
 func (q *query) gatherCall(shards []string, within time.Duration) *GatherCall {
 	r := q.request
-	return &GatherCall{
+	c := &GatherCall{
 		ID: r.id, Method: r.method, URI: r.uri, Host: r.host, Header: r.header, Body: r.body,
 		Version: r.view.Table.Version, Left: time.Until(r.deadline) - peerRoundTrip,
 		Within: within, Trial: r.trial, Shards: shards,
 		Leaving: q.handler.recentDepartures(),
 	}
+	if r.caller != nil {
+		c.Tenant, c.Credential = r.caller.tenant.Name, &r.caller.credential
+	}
+	return c
 }
 
 // unansweredKind returns the error kind of a gather that the peer has not answered.
@@ -200,6 +209,12 @@
 	if r.route == nil || !r.gathered() {
 		return nil, kind.Errorf(kind.NotFound, "the peer has no gathered route for the request")
 	}
+	if c.Credential != nil {
+		var err error
+		if r.caller, err = h.identifyCredential(view, *c.Credential); err != nil {
+			return nil, err
+		}
+	}
 	if err := h.checkStop(r); err != nil {
 		return nil, err
 	}
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -1,6 +1,9 @@
 package relay
 
-import "github.com/redwingshelf/redwingshelf/internal/memlimit"
+import (
+	"github.com/redwingshelf/redwingshelf/internal/catalog"
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
+)
 
 // AnswerBytes returns the total size of the answer bodies that are held.
 func (s *Services) AnswerBytes() int64 { return s.memory.Used() }
@@ -17,3 +20,12 @@
 	}
 	s.Refresh()
 }
+
+// PriorityOf returns the priority of a request of a tenant, which may be nil, on a route.
+func PriorityOf(t *catalog.Tenant, route *catalog.Route) int {
+	r := &request{route: route}
+	if t != nil {
+		r.caller = &caller{tenant: t}
+	}
+	return r.priority()
+}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -54,6 +54,10 @@
 	PublishCrashes func()
 	// RequestTrial asks a node whether a quarantined content may be sent once.
 	RequestTrial func(ctx context.Context, node string, f quarantine.Fingerprint) (bool, error)
+	// Access decides how old the knowledge of keys may be.
+	Access AccessOptions
+	// Quotas grants credits to requests of limited tenants; nil grants all.
+	Quotas Quotas
 	// SyncingCrashes reports whether the node still waits for the crash records of its peers.
 	SyncingCrashes func() bool
 }
@@ -123,15 +127,19 @@
 	if err == nil {
 		err = h.admit(r.Context(), request)
 	}
+	if err == nil {
+		err = h.takeCredit(r.Context(), request)
+	}
 	if err != nil {
 		h.writeError(w, request, nil, err)
 		return nil, err
 	}
 	q := newQuery(h, request)
 	defer q.release()
+	defer func() { h.returnCredit(request, q, err) }()
 	if answer := q.delegateWhole(r.Context()); answer != nil {
 		q.delegated = answer
-		err := answer.err()
+		err = answer.err()
 		if kind.Of(err) == kind.Canceled && r.Context().Err() == nil {
 			// The caller still waits for an answer.
 			err = kind.Errorf(kind.ConnectionLost, "the peer has given up the gather: %w", err)
@@ -157,6 +165,7 @@
 		method: r.Method, uri: r.RequestURI, host: r.Host, received: received, view: h.catalog.View(),
 	}
 	var timeout time.Duration
+	var err error
 	request.id, timeout = h.dialect.ReadRequest(r.Header)
 	table := request.view.Table
 	if table == nil {
@@ -170,12 +179,17 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	request.caller, err = h.identify(request, r.Header)
+	if err != nil {
+		return request, err
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err != nil {
 		return request, bodyError(err)
 	}
 	request.body = body
 	request.header = forwardedHeaders(r.Header)
+	h.dialect.SetTenant(request.header, request.tenantName())
 	request.margin = h.options.CallerMargin(r.Context()) + h.lag.value()
 	request.deadline = received.Add(shorterTimeout(timeout, request.route.Timeout))
 	return request, nil
@@ -344,8 +358,13 @@
 	if r.route != nil {
 		fields = append(fields, zap.String("route", r.route.Name))
 	}
+	fields = append(fields, h.accessFields(r, k)...)
 	h.log.Note("request failed", r.id, fields...)
-	if status == http.StatusServiceUnavailable {
+	if k == kind.StaleConfiguration {
+		// The caller's other requests have better chances at another node.
+		w.Header().Set("Connection", "close")
+	}
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		w.Header().Set("Retry-After", retryAfterHeader(err, time.Until(r.deadline)))
 	}
 	http.Error(w, k.String(), status)
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -267,7 +267,7 @@
 // long that it would take longer than within.
 func (q *query) saturated(within time.Duration) int {
 	n := 0
-	opts := leafpick.CallOptions{Mean: q.state.meanLatency(), Priority: q.request.route.Priority}
+	opts := leafpick.CallOptions{Mean: q.state.meanLatency(), Priority: q.request.priority()}
 	for _, c := range q.calls {
 		if s := q.handler.services.get(c.service); s != nil && s.saturated(opts, within) {
 			n++
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -31,14 +31,17 @@
 
 // setup is a handler behind an HTTP server, with its catalog and test leaves.
 type setup struct {
-	t        testing.TB
-	server   *httptest.Server
-	catalog  *catalog.Catalog
-	leaves   map[string][]*relaytest.Leaf
-	sent     int
-	handler  *relay.Handler
-	services *relay.Services
-	peerStub peerStub
+	t       testing.TB
+	server  *httptest.Server
+	catalog *catalog.Catalog
+	leaves  map[string][]*relaytest.Leaf
+	sent    int
+	// extraHeader is added to the headers of requests.
+	extraHeader http.Header
+	handler     *relay.Handler
+	services    *relay.Services
+	peerStub    peerStub
+	access      accessStub
 	// partPeers are the peers that gather parts.
 	partPeers partPeers
 }
@@ -63,6 +66,7 @@
 	services := relay.NewServices(relay.ServicesOptions{DataCentre: "here", RetryBudgetRatio: 3, RetryBudgetSlack: 100, RetryWindow: 10 * time.Second},
 		singleNodeFleet(), s.catalog.View, zap.NewNop())
 	handler := relay.NewHandler(relay.HandlerOptions{
+		Access: relay.AccessOptions{MaxAge: maxTableAge, MaxUnknownAge: maxTableAge, Age: s.access.age}, Quotas: &s.access,
 		CallerMargin:   func(context.Context) time.Duration { return time.Millisecond },
 		PublishCrashes: func() {},
 		RequestTrial:   func(context.Context, string, quarantine.Fingerprint) (bool, error) { return false, nil },
@@ -107,6 +111,9 @@
 	require.NoError(s.t, err)
 	r.Host = "shop.example"
 	s.sent++
+	for name, values := range s.extraHeader {
+		r.Header[name] = values
+	}
 	r.Header.Set(relaytest.HeaderID, fmt.Sprintf("req-%d", s.sent))
 	r.Header.Set(relaytest.HeaderLeft, timeoutHeader)
 	begin := time.Now()
--- a/internal/relay/relaytest/leaf.go
+++ b/internal/relay/relaytest/leaf.go
@@ -23,6 +23,8 @@
 	HeaderSigned  = "Test-Signed"
 	HeaderParts   = "Test-Parts"
 	HeaderMissing = "Test-Missing"
+	HeaderKey     = "Test-Key"
+	HeaderTenant  = "Test-Tenant"
 )
 
 // Dialect implements relay.Dialect.
@@ -37,6 +39,23 @@
 	return h.Get(HeaderID), time.Duration(ms) * time.Millisecond
 }
 
+// ReadKey implements relay.Dialect.
+func (Dialect) ReadKey(h http.Header) string {
+	if len(h.Values(HeaderKey)) != 1 {
+		return ""
+	}
+	return h.Get(HeaderKey)
+}
+
+// SetTenant implements relay.Dialect.
+func (Dialect) SetTenant(h http.Header, tenant string) {
+	h.Del(HeaderKey)
+	h.Del(HeaderTenant)
+	if tenant != "" {
+		h.Set(HeaderTenant, tenant)
+	}
+}
+
 // SetForwardHeaders implements relay.Dialect.
 func (Dialect) SetForwardHeaders(h http.Header, leaf string, left time.Duration) {
 	h.Set(HeaderLeaf, leaf)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -17,6 +17,12 @@
 	// ReadRequest returns the ID of a caller's request and how long the caller waits for
 	// the answer; the timeout is zero if the headers give none.
 	ReadRequest(h http.Header) (id string, timeout time.Duration)
+	// ReadKey returns the caller's key, or the empty string if the headers do not give exactly
+	// one.
+	ReadKey(h http.Header) string
+	// SetTenant removes what the caller has set as its key and as its tenant, and sets the
+	// tenant if it is not empty.
+	SetTenant(h http.Header, tenant string)
 	// SetForwardHeaders sets the headers of a request to a leaf: the leaf that may run it and
 	// the time left until the deadline.
 	SetForwardHeaders(h http.Header, leaf string, left time.Duration)
@@ -74,6 +80,24 @@
 	fingerprint *quarantine.Fingerprint
 	// trial is set for a quarantined content that may be sent once.
 	trial bool
+	// caller identifies the tenant of the request; it is nil if the request needs no key.
+	caller *caller
+}
+
+// priority returns the priority of the request: that of its tenant, or else of its route.
+func (r *request) priority() int {
+	if r.caller != nil && r.caller.tenant.HasPriority {
+		return r.caller.tenant.Priority
+	}
+	return r.route.Priority
+}
+
+// tenantName returns the name of the request's tenant; it is empty if it has none.
+func (r *request) tenantName() string {
+	if r.caller == nil {
+		return ""
+	}
+	return r.caller.tenant.Name
 }
 
 // gathered reports whether the request goes to all shards of its route.
--- a/internal/relaynode/fleet.go
+++ b/internal/relaynode/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/redwingshelf/redwingshelf/internal/kind"
 	"github.com/redwingshelf/redwingshelf/internal/member"
 	"github.com/redwingshelf/redwingshelf/internal/peer"
+	"github.com/redwingshelf/redwingshelf/internal/quota"
 	"github.com/redwingshelf/redwingshelf/internal/relay"
 	"github.com/redwingshelf/redwingshelf/internal/statesync"
 	"github.com/redwingshelf/redwingshelf/internal/wire"
@@ -47,6 +48,7 @@
 	}
 	n.setAlivePeers(addresses)
 	n.sharing.set(sharing)
+	n.quotas.setMembers(members)
 	n.updateSharing()
 }
 
@@ -137,6 +139,12 @@
 			})
 		}
 		return reply.Send(ctx, wire.TypeGatherResult, n.handler.ServeGather(ctx, c))
+	case wire.TypeCredit:
+		req := new(creditRequest)
+		if err := wire.Decode(frame.Payload, req); err != nil {
+			return kind.Errorf(kind.BadRequest, "%w", err)
+		}
+		return reply.Send(ctx, wire.TypeCreditResult, n.quotas.grant(req))
 	case wire.TypeCrashes:
 		crashReq := new(crashRequest)
 		if err := wire.Decode(frame.Payload, crashReq); err != nil {
@@ -149,7 +157,18 @@
 
 // HandleMessage implements peer.Handler.
 func (n *Node) HandleMessage(_ wire.Hello, frame wire.Frame) {
-	if frame.Type == wire.TypeMember {
+	switch frame.Type {
+	case wire.TypeMember:
 		n.fleet.Deliver(frame.Payload)
+	case wire.TypeAllotment:
+		a := new(quota.Allotment)
+		if wire.Decode(frame.Payload, a) == nil {
+			n.quotas.add(a)
+		}
+	case wire.TypeCreditReturn:
+		r := new(creditReturn)
+		if wire.Decode(frame.Payload, r) == nil {
+			n.quotas.giveBack(r)
+		}
 	}
 }
--- a/internal/relaynode/node.go
+++ b/internal/relaynode/node.go
@@ -57,6 +57,7 @@
 	idle            *idleConns
 	open            listeners
 	sharing         sharing
+	quotas          *quotas
 	// alivePeers are the peer addresses of the other live nodes.
 	alivePeers atomic.Pointer[[]string]
 	// crashUpdates signals that crash records must be sent to the other nodes, and joined
@@ -108,14 +109,22 @@
 		DataCentre: s.DataCentre, RetryBudgetRatio: s.RetryBudgetRatio, RetryBudgetSlack: s.RetryBudgetSlack, RetryWindow: s.RetryWindow,
 		ColdRatio: s.ColdRatio, ColdSlack: s.ColdSlack, AnswerBytes: int64(answerMemoryRatio * float64(s.MemoryBytes)),
 	}, singleNodeFleet(n.process), n.catalog.View, n.logger)
+	n.quotas = newQuotas(n)
 	log := reqlog.New(n.logger, n.scope, time.Now)
 	n.handler = relay.NewHandler(relay.HandlerOptions{
 		CallerMargin: callerMargin, NonIdempotentMaxIdle: nonIdempotentMaxIdle, PublishCrashes: n.publishCrashes, RequestTrial: n.requestTrial,
 		SyncingCrashes: func() bool { return !n.crashesSynced.Load() },
+		Quotas:         n.quotas,
+		Access: relay.AccessOptions{
+			MaxAge:        time.Duration(maxKnowledgeRatio * float64(s.MaxRevocationDelay)),
+			MaxUnknownAge: s.MaxApplyDelay,
+			Age:           func() (time.Duration, bool) { return n.watcher.VerifiedAge() },
+		},
 	},
 		d, n.catalog, n.services, n, log, n.scope.SubScope("relay"))
 	n.watcher = statesync.NewWatcher(statesync.Options{
 		Process: n.process, Store: store, Peers: n, Catalog: n.catalog, OnChange: n.catalogChanged,
+		MaxWatchWait:     time.Duration(watchWaitRatio * float64(s.MaxRevocationDelay)),
 		MaxTableDeferral: time.Duration(tableDeferralRatio * float64(s.MaxApplyDelay)), Logger: n.logger, Scope: n.scope, Random: rand.Float64,
 	})
 	hello := wire.Hello{Host: n.process, Incarnation: 1}
@@ -186,7 +195,7 @@
 	switch {
 	case r.URL.Path != n.settings.ReadyPath:
 		http.NotFound(w, r)
-	case !n.isReady.Load() || n.stopping.Load():
+	case !n.isReady.Load() || n.stopping.Load() || n.handler.Stale():
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
@@ -211,6 +220,7 @@
 	group.Go(func() error { return n.fleet.Run(groupCtx) })
 	group.Go(func() error { n.idle.run(groupCtx); return nil })
 	group.Go(func() error { n.reportGauges(groupCtx); return nil })
+	group.Go(func() error { n.quotas.run(groupCtx); return nil })
 	group.Go(func() error { return n.runCrashPublisher(groupCtx) })
 	group.Go(func() error { n.runJoinedSync(groupCtx); return nil })
 	group.Go(func() error { n.syncCrashesAtStart(groupCtx); return nil })
--- a/internal/relaynode/settings.go
+++ b/internal/relaynode/settings.go
@@ -37,6 +37,14 @@
 	// a cold start.
 	ColdRatio float64
 	ColdSlack float64
+	// MaxRevocationDelay is the time after which a key that was taken away is refused, whatever
+	// the state of the node and its links. Zero sets no limit.
+	MaxRevocationDelay time.Duration
+	// QuotaSlack is the number of requests by which the nodes together may exceed the limit of a
+	// tenant in a few seconds.
+	QuotaSlack float64
+	// DataCentres is the number of data centres that have hosts; zero if not known.
+	DataCentres int
 	// Cores is the processor time that the host may use, in cores, and LinkMbps the
 	// speed of its network link. They are zero if not known.
 	Cores    float64
@@ -73,6 +81,12 @@
 	// tableDeferralRatio is the fraction of MaxApplyDelay for which a table may be
 	// deferred until its leaves are warm; the rest is for requests in flight.
 	tableDeferralRatio = 0.7
+	// maxKnowledgeRatio is the fraction of MaxRevocationDelay at which the knowledge of keys is too
+	// old; the rest is for differences in the speed of clocks. watchWaitRatio is the fraction of it
+	// for which the store may hold a watch: the knowledge of a node that follows the store is up to
+	// two waits old.
+	maxKnowledgeRatio = 0.96
+	watchWaitRatio    = 0.2
 	// mbpsPerCore is the link speed that one core can use when it gathers.
 	mbpsPerCore = 100
 	// peerDiscoveryTime is how long a new process discovers its peers before it takes its
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -67,6 +67,10 @@
 	TypeCrashesResult
 	TypeTable
 	TypeTableResult
+	TypeAllotment
+	TypeCredit
+	TypeCreditResult
+	TypeCreditReturn
 	// NumTypes is one more than the greatest type.
 	NumTypes
 )
@@ -102,6 +106,10 @@
 	TypeCrashesResult:  "crashes_result",
 	TypeTable:          "table",
 	TypeTableResult:    "table_result",
+	TypeAllotment:      "allotment",
+	TypeCredit:         "credit",
+	TypeCreditResult:   "credit_result",
+	TypeCreditReturn:   "credit_return",
 	TypeQuarantineAck:  "quarantine_ack",
 	TypeQuarantineEnd:  "quarantine_end",
 	TypePermit:         "permit",
