Follow the store through returns as an older copy

The store can come back without what it had acknowledged last, and gives revisions out again; its answers tell the era. Revisions were compared by number, so that what was written after the return was ignored, and a watch went on in another history.

TestNothingGoesBackInANewEra and TestStoreReturnsAsOlderCopy pass; the latter fails when the era is not read (new leaves are never used).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -49,7 +49,7 @@
 	asOf uint64
 	// entries are the current entries by key, and tombstones the revisions of removals.
 	entries    map[string]Change
-	tombstones map[string]uint64
+	tombstones map[string]tombstone
 	// sequence counts the changes that had an effect, and changedAt is its value at the
 	// last one of each key.
 	sequence  uint64
@@ -65,16 +65,25 @@
 	tables    tableState
 	// newest is the change of the newest table.
 	newest Change
+	// eraHoldUntil is until when entries are held that the first snapshot of a new era lacked.
+	eraHoldUntil time.Duration
 	// changedServices are the services whose leaves have changed since the last view, and
 	// takenOutChanged is set if the data centres that are taken out have.
 	changedServices map[string]bool
 	takenOutChanged bool
 }
 
+// tombstone is what is kept of a removed entry.
+type tombstone struct {
+	revision uint64
+	// leaf is the leaf that the entry described, or nil.
+	leaf *Leaf
+}
+
 // New returns an empty catalog.
 func New() *Catalog {
 	c := &Catalog{
-		entries: map[string]Change{}, tombstones: map[string]uint64{}, lapsed: map[string]time.Duration{},
+		entries: map[string]Change{}, tombstones: map[string]tombstone{}, lapsed: map[string]time.Duration{},
 		changedAt: map[string]uint64{}, changed: make(chan struct{}), changedServices: map[string]bool{},
 		tables: tableState{warmAt: map[string]time.Duration{}},
 	}
@@ -115,6 +124,9 @@
 func (c *Catalog) Replace(now time.Duration, s *Snapshot) []Event {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if laterEra(s.AsOf, c.asOf) && c.asOf > 0 && !s.Partial {
+		c.beginEra(now)
+	}
 	var events []Event
 	present := make(map[string]bool, len(s.Entries)+len(s.LeftOut))
 	for _, key := range s.LeftOut {
@@ -126,7 +138,7 @@
 	}
 	for key, known := range c.entries {
 		if !present[key] && known.Revision <= s.AsOf {
-			events = c.apply(now, Change{Key: key, Revision: s.AsOf}, events)
+			events = c.applyMissing(now, Change{Key: key, Revision: s.AsOf}, events)
 		}
 	}
 	if !s.Partial {
@@ -135,6 +147,35 @@
 	return c.publish(now, events)
 }
 
+// beginEra is called before the first snapshot of a new era is applied. The history has come back as
+// an older copy: what was written after the copy is written again within lapseHoldTime, or is gone.
+func (c *Catalog) beginEra(now time.Duration) {
+	c.holdUntil = max(c.holdUntil, now+lapseHoldTime)
+	c.eraHoldUntil = now + lapseHoldTime
+}
+
+// applyMissing applies the removal of an entry that a snapshot lacks. At the begin of an era, data
+// centres stay taken out for some time.
+func (c *Catalog) applyMissing(now time.Duration, removal Change, events []Event) []Event {
+	known := c.entries[removal.Key]
+	if known.TakenOut == "" || now >= c.eraHoldUntil {
+		return c.apply(now, removal, events)
+	}
+	c.hold(removal, c.eraHoldUntil)
+	return append(events, Event{Change: removal, Ignored: "data centre stays taken out after the return of the history"})
+}
+
+// hold keeps an entry that was removed until a time. The entry gets the revision of its removal.
+func (c *Catalog) hold(removal Change, until time.Duration) {
+	if c.isLapsed(removal.Key) {
+		return
+	}
+	known := c.entries[removal.Key]
+	known.Revision = removal.Revision
+	c.entries[removal.Key] = known
+	c.lapsed[removal.Key] = until
+}
+
 // Expire removes the held leaves whose time has passed, and puts a deferred table in force if
 // it is due.
 func (c *Catalog) Expire(now time.Duration) []Event {
@@ -226,7 +267,7 @@
 		if e, exists := c.entries[key]; exists {
 			p.Changes = append(p.Changes, e)
 		} else {
-			p.Changes = append(p.Changes, Change{Key: key, Revision: c.tombstones[key]})
+			p.Changes = append(p.Changes, Change{Key: key, Revision: c.tombstones[key].revision})
 		}
 	}
 	return p
@@ -258,12 +299,18 @@
 		}
 	}
 	removal := change.Table == nil && change.Leaf == nil && change.TakenOut == ""
-	if exists && change.Revision < known.Revision || change.Revision <= c.tombstones[change.Key] {
+	removed := c.tombstones[change.Key]
+	// A higher version is newer, also if it comes from a peer that has not heard of a new era.
+	newerTable := change.Table != nil && known.Table != nil && change.Table.Version > known.Table.Version
+	if !newerTable && (exists && change.Revision < known.Revision || change.Revision <= removed.revision) {
 		return events
 	}
+	if isOldCopy(change, removed) {
+		return append(events, Event{Change: change, Ignored: "entry of a copy of the history from before the leaf was removed"})
+	}
 	// A held entry carries the revision of its removal. A node that received the entry from
 	// another node still applies the removal.
-	if exists && change.Revision == known.Revision && (!removal || c.isLapsed(change.Key)) {
+	if exists && !newerTable && change.Revision == known.Revision && (!removal || c.isLapsed(change.Key)) {
 		return events
 	}
 	if removal {
@@ -299,6 +346,16 @@
 	return append(events, Event{Change: change})
 }
 
+// isOldCopy reports whether a change of a new era has the entry of a leaf that was removed in an
+// earlier one. The leaf itself would have written a later entry.
+func isOldCopy(change Change, removed tombstone) bool {
+	if change.Leaf == nil || removed.leaf == nil || !laterEra(change.Revision, removed.revision) {
+		return false
+	}
+	return change.Leaf.Started == removed.leaf.Started && change.Leaf.Sequence <= removed.leaf.Sequence ||
+		change.Leaf.olderThan(removed.leaf)
+}
+
 func (c *Catalog) isLapsed(key string) bool {
 	_, lapsed := c.lapsed[key]
 	return lapsed
@@ -306,18 +363,14 @@
 
 func (c *Catalog) applyRemoval(now time.Duration, change, known Change, exists bool, events []Event) []Event {
 	if !exists {
-		c.addTombstone(change.Key, change.Revision)
+		c.addTombstone(change.Key, tombstone{revision: change.Revision, leaf: c.tombstones[change.Key].leaf})
 		return events
 	}
 	if known.Table != nil {
 		return append(events, Event{Change: change, Ignored: "the last known table is kept"})
 	}
 	if known.Leaf != nil && !known.Leaf.Draining && now < c.holdUntil {
-		if !c.isLapsed(change.Key) {
-			c.lapsed[change.Key] = c.holdUntil
-			known.Revision = change.Revision
-			c.entries[change.Key] = known
-		}
+		c.hold(change, c.holdUntil)
 		return append(events, Event{Change: change, Ignored: "leaf is held after an outage"})
 	}
 	c.remove(change.Key, change.Revision)
@@ -325,19 +378,19 @@
 }
 
 func (c *Catalog) remove(key string, revision uint64) {
-	if l := c.entries[key].Leaf; l != nil {
+	l := c.entries[key].Leaf
+	if l != nil {
 		delete(c.tables.warmAt, l.ID)
 	}
 	c.markChanged(c.entries[key])
 	delete(c.entries, key)
 	delete(c.lapsed, key)
-	c.addTombstone(key, revision)
+	c.addTombstone(key, tombstone{revision: revision, leaf: l})
 	c.recordChange(key)
 }
 
-// addTombstone keeps the revision of a removal, so that an older entry that arrives late is
-// not restored.
-func (c *Catalog) addTombstone(key string, revision uint64) {
+// addTombstone keeps a removal, so that an older entry that arrives late is not restored.
+func (c *Catalog) addTombstone(key string, t tombstone) {
 	if len(c.tombstones) >= maxTombstones {
 		clear(c.tombstones)
 		c.forgotten = c.sequence
@@ -347,7 +400,7 @@
 			}
 		}
 	}
-	c.tombstones[key] = revision
+	c.tombstones[key] = t
 }
 
 // markChanged records which part of the view an entry belongs to that is added or removed.
--- a/internal/statesync/table.go
+++ b/internal/statesync/table.go
@@ -42,6 +42,7 @@
 type TableInfo struct {
 	Key      string
 	Revision uint64
+	Version  int64
 	// Bytes is the size of the encoded table, and Digest its SHA-256.
 	Bytes  int
 	Digest [sha256.Size]byte
@@ -99,7 +100,7 @@
 	if err := w.Close(); err != nil {
 		return nil, err
 	}
-	info := TableInfo{Key: change.Key, Revision: change.Revision, Bytes: data.Len(), Digest: sha256.Sum256(data.Bytes())}
+	info := TableInfo{Key: change.Key, Revision: change.Revision, Version: t.Version, Bytes: data.Len(), Digest: sha256.Sum256(data.Bytes())}
 	return &encodedTable{info: info, data: data.Bytes()}, nil
 }
 
@@ -155,7 +156,7 @@
 	}
 	w.encodedMu.Lock()
 	defer w.encodedMu.Unlock()
-	if e := w.encoded[0]; e != nil && e.info.Revision >= change.Revision {
+	if e := w.encoded[0]; e != nil && !e.info.olderThan(change) {
 		return e
 	}
 	e, err := encodeTable(change)
@@ -174,7 +175,23 @@
 // lacks reports whether a table is newer than that of the catalog, and the catalog has not
 // rejected it.
 func (w *Watcher) lacks(info *TableInfo) bool {
-	return info != nil && info.Revision > w.options.Catalog.NewestTable().Revision && info.Digest != w.rejected
+	if info == nil || info.Digest == w.rejected {
+		return false
+	}
+	newest := w.options.Catalog.NewestTable()
+	if newest.Table == nil || info.Version != newest.Table.Version {
+		return newest.Table == nil || info.Version > newest.Table.Version
+	}
+	return info.Revision > newest.Revision
+}
+
+// olderThan reports whether the encoded table is older than that of a change: by its version, since
+// a new era of the history can begin with an older table, and then by its revision.
+func (i *TableInfo) olderThan(change catalog.Change) bool {
+	if i.Version != change.Table.Version {
+		return i.Version < change.Table.Version
+	}
+	return i.Revision < change.Revision
 }
 
 // fetchTable fetches parts of a table from a peer, for at most tableSlice, and applies the
@@ -248,7 +265,7 @@
 	}
 	w.encodedMu.Lock()
 	defer w.encodedMu.Unlock()
-	if e := w.encoded[0]; e == nil || e.info.Revision < d.info.Revision {
+	if e := w.encoded[0]; e == nil || e.info.olderThan(change) {
 		w.keepEncoded(d)
 	}
 	return nil
--- a/internal/statesync/watcher.go
+++ b/internal/statesync/watcher.go
@@ -473,7 +473,9 @@
 }
 
 func logChange(logger *zap.Logger, e *catalog.Event, asOf uint64) {
-	fields := []zap.Field{zap.String("key", e.Change.Key), zap.Uint64("revision", e.Change.Revision), zap.Uint64("as_of", asOf)}
+	era, revision := catalog.SplitRevision(e.Change.Revision)
+	_, asOf = catalog.SplitRevision(asOf)
+	fields := []zap.Field{zap.String("key", e.Change.Key), zap.Uint64("revision", revision), zap.Uint64("era", era), zap.Uint64("as_of", asOf)}
 	switch {
 	case e.Ignored != "":
 		logger.Info("change ignored", append(fields, zap.String("reason", e.Ignored))...)
