Bound what callers hold of a process

Bodies were read whole with a bound for each request only, and connections were not bounded. Callers that send all but the last byte of a body and stay took the memory of the process: 300 of them 127 MB where it has 64.

A listener now accounts for all callers' connections and for the bytes of requests that are received or served, heads included. A request without room is refused (503, not run). A body must arrive before the request's deadline. The own interface uses the same listener. Frames of peers take memory as they arrive, not by what their header claims.

--- /dev/null
+++ b/internal/callerconn/listener.go
@@ -0,0 +1,223 @@
+// Package callerconn accepts the connections of callers and bounds what they hold of the process.
+package callerconn
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/redwingshelf/redwingshelf/internal/intake"
+)
+
+const (
+	// connBytes is about the memory that the server takes for one connection.
+	connBytes = 24 << 10
+	// connMemoryRatio and requestMemoryRatio are the fractions of the memory of a process for the
+	// connections of callers and for the requests that are received or served. A request takes up to
+	// three times its size, since it is encoded again for a leaf.
+	connMemoryRatio    = 0.2
+	requestMemoryRatio = 0.1
+	// reservedFiles are not available for sockets, and callerFilesRatio is the fraction of the others
+	// that callers' connections may use.
+	reservedFiles    = 200
+	callerFilesRatio = 0.5
+	// defaultConns and defaultRequestBytes apply if neither memory nor descriptors are limited.
+	defaultConns        = 16 << 10
+	defaultRequestBytes = 64 << 20
+	// minConns and minRequestBytes let a process serve also if its limits are set too low for that.
+	minConns        = 16
+	minRequestBytes = 1 << 20
+)
+
+// errRemoved is the error of reading on a connection that was closed in favour of others.
+var errRemoved = errors.New("the connection was closed in favour of others that make progress")
+
+// Limits returns the limits of a process with a memory limit in bytes and a limit of descriptors. Zero
+// means that there is none.
+func Limits(memoryBytes int64, files int) intake.Limits {
+	l := intake.Limits{Conns: defaultConns, Bytes: defaultRequestBytes}
+	if memoryBytes > 0 {
+		l.Conns = min(l.Conns, int(connMemoryRatio*float64(memoryBytes)/connBytes))
+		l.Bytes = max(int64(requestMemoryRatio*float64(memoryBytes)), minRequestBytes)
+	}
+	if files > 0 {
+		l.Conns = min(l.Conns, int(callerFilesRatio*float64(files-reservedFiles)))
+	}
+	l.Conns = max(l.Conns, minConns)
+	return l
+}
+
+// Listener accepts connections within limits. It implements net.Listener.
+type Listener struct {
+	net.Listener
+	start   time.Time
+	removed tally.Counter
+	refused tally.Counter
+	// mu guards account and byAccount.
+	mu        sync.Mutex
+	account   *intake.Account
+	byAccount map[*intake.Conn]*Conn
+}
+
+// Conn is a connection of a caller.
+type Conn struct {
+	net.Conn
+	listener *Listener
+	entry    *intake.Conn
+}
+
+// Listen bounds the connections of a listener.
+func Listen(l net.Listener, limits intake.Limits, scope tally.Scope) *Listener {
+	return &Listener{
+		Listener: l, start: time.Now(), account: intake.NewAccount(limits), byAccount: map[*intake.Conn]*Conn{},
+		removed: scope.Counter("connections_removed"), refused: scope.Counter("connections_refused"),
+	}
+}
+
+func (l *Listener) now() time.Duration { return time.Since(l.start) }
+
+// Accept implements net.Listener. It closes connections for which there is no room.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.open(raw); c != nil {
+			return c, nil
+		}
+		l.refused.Inc(1)
+		_ = raw.Close()
+	}
+}
+
+func (l *Listener) open(raw net.Conn) *Conn {
+	l.mu.Lock()
+	entry, victim := l.account.Open(l.now())
+	var removed *Conn
+	if victim != nil {
+		removed = l.take(victim)
+	}
+	var c *Conn
+	if entry != nil {
+		c = &Conn{Conn: raw, listener: l, entry: entry}
+		l.byAccount[entry] = c
+	}
+	l.mu.Unlock()
+	l.remove(removed)
+	return c
+}
+
+// take returns the connection of an entry that the account has removed. mu is held.
+func (l *Listener) take(entry *intake.Conn) *Conn {
+	c := l.byAccount[entry]
+	delete(l.byAccount, entry)
+	return c
+}
+
+// remove closes a connection that lost its place to another one.
+func (l *Listener) remove(c *Conn) {
+	if c != nil {
+		l.removed.Inc(1)
+		_ = c.Conn.Close()
+	}
+}
+
+// Usage returns the number of connections and the bytes of their requests.
+func (l *Listener) Usage() (conns int, bytes int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.account.Conns(), l.account.Bytes()
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	l := c.listener
+	l.mu.Lock()
+	victims, ok := l.account.Grow(l.now(), c.entry, n)
+	_, present := l.byAccount[c.entry]
+	var removed []*Conn
+	for _, v := range victims {
+		removed = append(removed, l.take(v))
+	}
+	l.mu.Unlock()
+	for _, v := range removed {
+		l.remove(v)
+	}
+	switch {
+	case !present:
+		return 0, errRemoved
+	case !ok:
+		return 0, intake.ErrNoRoom
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	l := c.listener
+	l.mu.Lock()
+	l.account.Close(c.entry)
+	delete(l.byAccount, c.entry)
+	l.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Track is the ConnState hook of the server.
+func Track(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.setPhase(intake.Receiving)
+	case http.StateIdle:
+		c.setPhase(intake.Idle)
+	}
+}
+
+// RequestRead reports that a request has been read completely on a connection.
+func RequestRead(conn net.Conn) {
+	if c, ok := conn.(*Conn); ok {
+		c.setPhase(intake.Serving)
+	}
+}
+
+type contextKey struct{}
+
+// WithConn is the ConnContext hook of a server whose handler calls RequestReadIn.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, contextKey{}, c)
+}
+
+// RequestReadIn is RequestRead for the connection of a request's context.
+func RequestReadIn(ctx context.Context) {
+	if c, ok := ctx.Value(contextKey{}).(net.Conn); ok {
+		RequestRead(c)
+	}
+}
+
+// Underlying returns the connection that the listener has accepted.
+func Underlying(conn net.Conn) net.Conn {
+	if c, ok := conn.(*Conn); ok {
+		return c.Conn
+	}
+	return conn
+}
+
+func (c *Conn) setPhase(p intake.Phase) {
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.account.SetPhase(l.now(), c.entry, p)
+}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -11,7 +11,9 @@
 
 	"github.com/google/uuid"
 
+	"github.com/redwingshelf/redwingshelf/internal/callerconn"
 	"github.com/redwingshelf/redwingshelf/internal/coverage"
+	"github.com/redwingshelf/redwingshelf/internal/intake"
 	"github.com/redwingshelf/redwingshelf/internal/kind"
 )
 
@@ -107,9 +109,13 @@
 	if errors.As(err, &tooLarge) {
 		return nil, kind.Errorf(kind.TooLarge, "request body is larger than %d bytes", tooLarge.Limit)
 	}
+	if errors.Is(err, intake.ErrNoRoom) {
+		return nil, kind.Errorf(kind.Overloaded, "read the request body: %w", err)
+	}
 	if err != nil {
 		return nil, kind.Errorf(kind.BadRequest, "read the request body: %w", err)
 	}
+	callerconn.RequestReadIn(r.Context())
 	if !json.Valid(body) {
 		return nil, kind.Errorf(kind.BadRequest, "request body is not JSON")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/redwingshelf/redwingshelf/internal/blob"
+	"github.com/redwingshelf/redwingshelf/internal/callerconn"
 	"github.com/redwingshelf/redwingshelf/internal/document"
 	"github.com/redwingshelf/redwingshelf/internal/entry"
 	"github.com/redwingshelf/redwingshelf/internal/fleet"
@@ -154,7 +155,9 @@
 	defer cancel()
 	group, groupCtx := errgroup.WithContext(runCtx)
 	group.Go(n.peerServer.Serve)
-	group.Go(func() error { return serve(n.callerServer, n.listeners.http) })
+	group.Go(func() error {
+		return serve(n.callerServer, callerconn.Listen(n.listeners.http, callerconn.Limits(0, 0), n.scope.SubScope("callers")))
+	})
 	group.Go(func() error { return serve(n.operatorServer, n.listeners.ops) })
 	group.Go(func() error { return n.config.Run(groupCtx) })
 	group.Go(func() error { return n.hosts.Run(groupCtx) })
@@ -247,5 +250,7 @@
 		ReadHeaderTimeout: limits.ReadTimeout(),
 		WriteTimeout:      limits.WriteTimeout(),
 		IdleTimeout:       limits.IdleTimeout(),
+		ConnState:         callerconn.Track,
+		ConnContext:       callerconn.WithConn,
 	}
 }
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 
 	"github.com/redwingshelf/redwingshelf/internal/catalog"
 	"github.com/redwingshelf/redwingshelf/internal/dispatch"
+	"github.com/redwingshelf/redwingshelf/internal/intake"
 	"github.com/redwingshelf/redwingshelf/internal/kind"
 	"github.com/redwingshelf/redwingshelf/internal/quarantine"
 	"github.com/redwingshelf/redwingshelf/internal/reqlog"
@@ -54,6 +56,9 @@
 	PublishCrashes func()
 	// RequestTrial asks a node whether a quarantined content may be sent once.
 	RequestTrial func(ctx context.Context, node string, f quarantine.Fingerprint) (bool, error)
+	// RequestRead is called when a request has been read completely, with its context. It may be
+	// nil.
+	RequestRead func(context.Context)
 	// Access decides how old the knowledge of keys may be.
 	Access AccessOptions
 	// Quotas grants credits to requests of limited tenants; nil grants all.
@@ -106,6 +111,10 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
+	if r.ContentLength != 0 {
+		// It also bounds how long the server waits for a body that is not needed.
+		_ = http.NewResponseController(w).SetReadDeadline(received.Add(defaultTimeout))
+	}
 	h.serving.Add(1)
 	defer h.serving.Add(-1)
 	if h.stopping.Load() != nil {
@@ -183,18 +192,36 @@
 	if err != nil {
 		return request, err
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	request.deadline = received.Add(shorterTimeout(timeout, request.route.Timeout))
+	request.body, err = readBody(w, r, limit, request.deadline)
 	if err != nil {
 		return request, bodyError(err)
 	}
-	request.body = body
+	if h.options.RequestRead != nil {
+		h.options.RequestRead(r.Context())
+	}
 	request.header = forwardedHeaders(r.Header)
 	h.dialect.SetTenant(request.header, request.tenantName())
 	request.margin = h.options.CallerMargin(r.Context()) + h.lag.value()
-	request.deadline = received.Add(shorterTimeout(timeout, request.route.Timeout))
 	return request, nil
 }
 
+// readBody reads the body of a request, of at most limit bytes and until its deadline at most.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
 // hostOnly returns a host without its port.
 func hostOnly(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
@@ -214,6 +241,12 @@
 	if errors.As(err, &tooLarge) {
 		return kind.Errorf(kind.TooLarge, "the request body is larger than %d bytes", tooLarge.Limit)
 	}
+	switch {
+	case errors.Is(err, intake.ErrNoRoom):
+		return kind.Errorf(kind.Overloaded, "read the request body: %w", err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return kind.Errorf(kind.DeadlinePassed, "the request body has not arrived before the deadline: %w", err)
+	}
 	return kind.Errorf(kind.Canceled, "read the request body: %w", err)
 }
 
--- a/internal/relaynode/callerconn.go
+++ b/internal/relaynode/callerconn.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/redwingshelf/redwingshelf/internal/callerconn"
 )
 
 const (
@@ -35,6 +37,13 @@
 	return context.WithValue(ctx, callerConnKey{}, &callerConn{conn: c})
 }
 
+// requestRead reports that a request has been read completely.
+func requestRead(ctx context.Context) {
+	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
+		callerconn.RequestRead(c.conn)
+	}
+}
+
 // callerMargin returns the time that a request and its answer take between the caller and
 // the node. The first request of a connection also had to wait for the connection to open.
 func callerMargin(ctx context.Context) time.Duration {
@@ -54,7 +63,7 @@
 
 // roundTrip returns the round-trip time that the kernel has measured.
 func roundTrip(c net.Conn) time.Duration {
-	tcp, ok := c.(*net.TCPConn)
+	tcp, ok := callerconn.Underlying(c).(*net.TCPConn)
 	if !ok {
 		return defaultRoundTrip
 	}
--- a/internal/relaynode/node.go
+++ b/internal/relaynode/node.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/redwingshelf/redwingshelf/internal/callerconn"
 	"github.com/redwingshelf/redwingshelf/internal/catalog"
 	"github.com/redwingshelf/redwingshelf/internal/dispatch"
 	"github.com/redwingshelf/redwingshelf/internal/fleet"
@@ -55,6 +56,7 @@
 	callerServer    *http.Server
 	readyServer     *http.Server
 	idle            *idleConns
+	callers         *callerconn.Listener
 	open            listeners
 	sharing         sharing
 	quotas          *quotas
@@ -112,6 +114,7 @@
 	n.quotas = newQuotas(n)
 	log := reqlog.New(n.logger, n.scope, time.Now)
 	n.handler = relay.NewHandler(relay.HandlerOptions{
+		RequestRead:  requestRead,
 		CallerMargin: callerMargin, NonIdempotentMaxIdle: nonIdempotentMaxIdle, PublishCrashes: n.publishCrashes, RequestTrial: n.requestTrial,
 		SyncingCrashes: func() bool { return !n.crashesSynced.Load() },
 		Quotas:         n.quotas,
@@ -136,8 +139,9 @@
 	n.sharing.set([]member.Member{n.selfMember()})
 	n.sharing.setMaxGatherers(leafpick.Unbounded)
 	n.idle = newIdleConns(n.idleTimeout)
+	n.callers = callerconn.Listen(n.open.callers, callerconn.Limits(s.MemoryBytes, s.MaxFiles), n.scope.SubScope("callers"))
 	n.callerServer = &http.Server{
-		Handler: n.handler, ConnState: n.idle.track, ConnContext: withCallerConn,
+		Handler: n.handler, ConnState: n.trackCaller, ConnContext: withCallerConn,
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	n.readyServer = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
@@ -210,7 +214,7 @@
 	defer cancel()
 	group, groupCtx := errgroup.WithContext(runCtx)
 	group.Go(n.peerServer.Serve)
-	group.Go(func() error { return serve(n.callerServer, n.open.callers) })
+	group.Go(func() error { return serve(n.callerServer, n.callers) })
 	group.Go(func() error { return serve(n.readyServer, n.open.ready) })
 	metrics := &http.Server{Handler: n.metricsHandler, ReadHeaderTimeout: headerTimeout}
 	if n.open.metrics != nil {
@@ -266,13 +270,24 @@
 // were not written.
 func (n *Node) reportGauges(ctx context.Context) {
 	gauge := n.scope.Gauge("log_lines_dropped")
+	callers := n.scope.SubScope("callers")
+	conns, bytes := callers.Gauge("connections"), callers.Gauge("request_bytes")
 	leaves := n.scope.SubScope("relay")
 	periodic.Run(ctx, metricsInterval, func() {
 		gauge.Update(float64(n.droppedLogLines()))
+		openConns, requestBytes := n.callers.Usage()
+		conns.Update(float64(openConns))
+		bytes.Update(float64(requestBytes))
 		n.services.Report(leaves)
 	})
 }
 
+// trackCaller is the ConnState hook of the server for callers.
+func (n *Node) trackCaller(c net.Conn, state http.ConnState) {
+	n.idle.track(c, state)
+	callerconn.Track(c, state)
+}
+
 // otherAddresses returns the addresses other than the node's own.
 func otherAddresses(addresses []string, own string) []string {
 	return slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == own })
--- a/internal/relaynode/settings.go
+++ b/internal/relaynode/settings.go
@@ -49,6 +49,8 @@
 	// speed of its network link. They are zero if not known.
 	Cores    float64
 	LinkMbps float64
+	// MaxFiles is the number of descriptors that the process may use; zero means no limit.
+	MaxFiles int
 	// MemoryBytes is the memory that the process may use; zero means no limit.
 	MemoryBytes int64
 }
--- a/internal/statesync/verified_test.go
+++ b/internal/statesync/verified_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,10 +48,12 @@
 type clock struct {
 	begin     time.Time
 	offset    time.Duration
-	suspended time.Duration
+	suspended atomic.Int64
 }
 
-func (c *clock) now() time.Duration { return time.Since(c.begin) + c.offset + c.suspended }
+func (c *clock) now() time.Duration {
+	return time.Since(c.begin) + c.offset + time.Duration(c.suspended.Load())
+}
 
 // TestVerifiedAgeIsNeverTooShort writes an entry and checks, for nodes that hear of it late in every
 // way, that none of them that lacks the entry states an age that is less than the time since the
@@ -131,7 +134,7 @@
 		go func() { _ = w.Run(ctx) }()
 		time.Sleep(3 * time.Second)
 		store.setFault(func(string) fault { return hang })
-		clk.suspended += time.Minute
+		clk.suspended.Add(int64(time.Minute))
 		age, known := w.VerifiedAge()
 		assert.True(t, known)
 		assert.GreaterOrEqual(t, age, time.Minute)
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -22,6 +22,9 @@
 // MaxPayload is the maximum length of a frame's payload in bytes.
 const MaxPayload = 4 << 20
 
+// initialPayload is the size of the buffer with which reading a payload begins.
+const initialPayload = 64 << 10
+
 // HeaderSize is the length of a frame's header in bytes.
 const HeaderSize = 14
 
@@ -154,8 +157,8 @@
 	if length > MaxPayload {
 		return Frame{}, fmt.Errorf("%w: %d bytes, at most %d", ErrTooLarge, length, MaxPayload)
 	}
-	payload := make([]byte, length)
-	if _, err := io.ReadFull(r, payload); err != nil {
+	payload, err := readPayload(r, int(length))
+	if err != nil {
 		return Frame{}, fmt.Errorf("read a payload of %d bytes: %w", length, noEOF(err))
 	}
 	frame := Frame{
@@ -166,6 +169,19 @@
 	return frame, nil
 }
 
+// readPayload reads a payload. The buffer grows as bytes arrive, so that a header alone takes no memory.
+func readPayload(r io.Reader, length int) ([]byte, error) {
+	payload := make([]byte, min(length, initialPayload))
+	for filled := 0; ; {
+		n, err := io.ReadFull(r, payload[filled:])
+		filled += n
+		if err != nil || filled == length {
+			return payload, err
+		}
+		payload = append(payload, make([]byte, min(length-filled, filled))...)
+	}
+}
+
 // Write writes one frame to w without flushing it.
 func Write(w *bufio.Writer, f Frame) error {
 	if len(f.Payload) > MaxPayload {
