Take an answer without a valid status for a failure of the leaf

An answer with a status under 200 counted as interim, so that a request to a leaf that answers 000 waited for another answer until its deadline (504 after 2 s of 2 s); a status of 600 or more was passed on to the caller. Neither was an answer of success. A status outside 100 to 599, 101, and an interim one with a body now fail the call at once, as an answer that may have run. In the own interface a status that is none of a refusal is one no more, even if the leaf says that the call has not run.

--- a/internal/leafconn/exchange.go
+++ b/internal/leafconn/exchange.go
@@ -306,6 +306,10 @@
 			return nil, false, fmt.Errorf("read answer: %w", err)
 		}
 		head := c.source.beginBody()
+		if err := checkStatus(response); err != nil {
+			c.pool.memory.Release(head)
+			return nil, false, err
+		}
 		body, reserved, err := c.readBody(response)
 		if err != nil {
 			c.pool.memory.Release(head + reserved)
@@ -326,6 +330,25 @@
 	return nil, false, errForeign
 }
 
+// ErrInvalidStatus is the error of an answer whose status is none of HTTP, or an interim one that
+// can't be followed by the answer.
+var ErrInvalidStatus = errors.New("the answer has an invalid status")
+
+// maxStatus is the greatest status that HTTP defines a class for.
+const maxStatus = 599
+
+// checkStatus returns an error unless a response is an answer, or an interim response before it.
+func checkStatus(r *http.Response) error {
+	switch {
+	case r.StatusCode < http.StatusContinue, r.StatusCode > maxStatus, r.StatusCode == http.StatusSwitchingProtocols:
+	case r.StatusCode < http.StatusOK && (r.Header.Get("Content-Length") != "" || len(r.TransferEncoding) > 0):
+		// The bytes of the body would be taken for the answer.
+	default:
+		return nil
+	}
+	return fmt.Errorf("%w: %.20q", ErrInvalidStatus, r.Status)
+}
+
 // setKeepIdle sets keepIdle by the timeout in a Keep-Alive header.
 func (c *conn) setKeepIdle(header string) {
 	for _, word := range strings.Split(header, ",") {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -68,7 +68,7 @@
 		a.outcome = leafpick.TimedOut
 	case notConnected:
 		a.outcome = leafpick.Unreachable
-	case errors.Is(err, leafconn.ErrTooLarge):
+	case errors.Is(err, leafconn.ErrTooLarge), errors.Is(err, leafconn.ErrInvalidStatus):
 		a.outcome = leafpick.Failed
 	default:
 		a.outcome = leafpick.Lost
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -170,6 +170,10 @@
 	if err != nil {
 		return nil, newCallError(kind.Errorf(kind.BadAnswer, "leaf %q: %w", r.Leaf, err))
 	}
+	if response.StatusCode != http.StatusOK && (response.StatusCode < http.StatusBadRequest || response.StatusCode > maxStatus) {
+		h.conns.retire(c)
+		return nil, newCallError(kind.Errorf(kind.BadAnswer, "leaf %q answered with the invalid status %d", r.Leaf, response.StatusCode))
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, refusal(r, report, response)
 	}
@@ -207,6 +211,9 @@
 	return h.transportError(ctx, c, r, err)
 }
 
+// maxStatus is the greatest status of a refusal.
+const maxStatus = 599
+
 // refusals maps the values of HeaderRefusal to kinds.
 var refusals = map[string]kind.Kind{
 	"shed":     kind.LeafShed,
--- a/internal/target/promise_test.go
+++ b/internal/target/promise_test.go
@@ -58,3 +58,16 @@
 	t.Cleanup(caller.Close)
 	return caller
 }
+
+// TestInvalidStatusIsNoRefusal has a leaf say with a status that is none of a refusal that it has not
+// run a call: it has failed, and may have run it.
+func TestInvalidStatusIsNoRefusal(t *testing.T) {
+	for _, status := range []int{201, 204, 301, 399, 600, 700, 999} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			_, err := newStatusLeaf(t, status, "shed", "no").Call(t.Context(), newRequest())
+			require.Error(t, err)
+			assert.Equal(t, kind.BadAnswer, kind.Of(err))
+			assert.NotEqual(t, kind.RunNo, kind.RunOf(err))
+		})
+	}
+}
