--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -34,21 +34,32 @@
 }
 
 func newCheckCommand(format *outputFormat) *cobra.Command {
-	var asSettings bool
+	var asSettings, asTables bool
 	command := &cobra.Command{
 		Use:   "check FILE...",
 		Short: "Check documents or settings and list every problem",
 		Long: `Check reads each file as a node would and lists every problem with its line and
-field. It exits with 1 if a file would be refused.`,
+field. It exits with 1 if a file would be refused.
+
+With --platform the files are configurations of the users' platform, as they are
+written to its store. Check then also tells what has no effect: routes that can never
+match, services that no route uses, limits that contradict each other. It exits with 1
+for these too. Keys are never printed.`,
 		Example: `  redwingctl check examples/adom.jsonc
+  redwingctl check --platform next.json
   redwingctl check --settings examples/settings/*.jsonc`,
 		Args:              cobra.MinimumNArgs(1),
 		ValidArgsFunction: completeDocuments,
 		RunE: func(cmd *cobra.Command, files []string) error {
+			if asTables {
+				return runTableCheck(cmd.OutOrStdout(), format, files)
+			}
 			return runCheck(cmd.OutOrStdout(), format, files, asSettings)
 		},
 	}
 	command.Flags().BoolVar(&asSettings, "settings", false, "the files are settings of hosts")
+	command.Flags().BoolVar(&asTables, "platform", false, "the files are configurations of the users' platform")
+	command.MarkFlagsMutuallyExclusive("platform", "settings")
 	return command
 }
 
--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -20,21 +20,30 @@
 }
 
 func newDiffCommand(format *outputFormat) *cobra.Command {
-	return &cobra.Command{
+	var asTables bool
+	command := &cobra.Command{
 		Use:   "diff OLD NEW",
 		Short: "Show what a new document changes",
 		Long: `Diff lists the differences in meaning between two documents: "+" for an
 addition, "-" for a removal and "~" for a change. It exits with 0 only if both
 files have the same bytes, which proves that a document went from trial to
-production unchanged.`,
+production unchanged.
+
+With --platform the files are configurations of the users' platform; diff then also
+tells which requests each difference touches, and exits with 0 if there is none.`,
 		Example: `  redwingctl diff published.jsonc examples/adom.jsonc
   redwingctl diff --output json trial.jsonc production.jsonc`,
 		Args:              cobra.ExactArgs(2),
 		ValidArgsFunction: completeDocuments,
 		RunE: func(cmd *cobra.Command, files []string) error {
+			if asTables {
+				return runTableDiff(cmd.OutOrStdout(), format, files[0], files[1])
+			}
 			return runDiff(cmd.OutOrStdout(), format, files[0], files[1])
 		},
 	}
+	command.Flags().BoolVar(&asTables, "platform", false, "the files are configurations of the users' platform")
+	return command
 }
 
 func runDiff(w io.Writer, format *outputFormat, oldFile, newFile string) error {
