Find the pace of a leaf that has just started or recovered

A leaf whose cold start has ended, or that answers again, got its full share of calls at once. Each node now begins with one call at a time and lets the number grow with each answer that is not slow, up to the leaf's slots. A leaf at its pace gives way to others but is still used before one with an overdue call. Only for services with a cold start in the configuration.

--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -78,6 +78,9 @@
 	Name string
 	// MaxConns is the number of connections that one leaf accepts from all callers.
 	MaxConns int
+	// Warmup is how long a leaf is in a cold start. If it is not zero, the pace of leaves that have
+	// started or recovered is found from how they answer.
+	Warmup time.Duration
 	// WarmupPerSecond is the number of requests per second that a leaf in a cold start
 	// tolerates from all callers.
 	WarmupPerSecond float64
--- a/internal/leafpick/group.go
+++ b/internal/leafpick/group.go
@@ -19,6 +19,9 @@
 	// overdueCost is the added cost of a leaf with an overdue call, in multiples of
 	// the mean latency.
 	overdueCost = 40
+	// pacedCost is the added cost of a leaf that has as many calls in flight as its pace allows. It is
+	// used before leaves with overdue calls, so that no request fails for the sake of the pace.
+	pacedCost = 10
 	// coldInterval is the time over which a node spreads its permits for a cold leaf. It
 	// exceeds one second so that calls delayed on the way do not exceed the limit in the
 	// second in which they arrive.
@@ -77,6 +80,7 @@
 			}
 			l.Entry = e
 		}
+		l.paced = service.Warmup > 0
 		g.leaves = append(g.leaves, l)
 	}
 }
@@ -192,6 +196,7 @@
 			continue
 		}
 		l.decay(now)
+		l.checkWarm(now)
 		if l.cold(now) && !g.hasColdPermit(now, l, fleet) {
 			continue
 		}
@@ -236,6 +241,9 @@
 	if l.overdue(now) {
 		cost += overdueCost * mean
 	}
+	if !l.pace.Room(len(l.inFlight)) {
+		cost += pacedCost * mean
+	}
 	if l.cold(now) {
 		// A cold leaf is used only after all warm ones that answer.
 		cost += overdueCost * mean / 2
@@ -362,6 +370,7 @@
 	switch outcome {
 	case Answered:
 		l.restore()
+		l.pace.Answered(relativeLatency)
 		l.latencyRatio += latencyGain * (relativeLatency - l.latencyRatio)
 		l.failureRate -= failureGain * l.failureRate
 	case Refused, Failed:
@@ -370,13 +379,16 @@
 			// The leaf itself has told when it can be used again.
 			break
 		}
+		l.pace.Refused()
 		l.failureRate += failureGain * (1 - l.failureRate)
 	case Lost:
+		l.pace.Lost()
 		l.failureRate += failureGain * (1 - l.failureRate)
 		if c.probe {
 			l.eject(now)
 		}
 	case Unreachable, TimedOut:
+		l.pace.Lost()
 		l.failureRate += failureGain * (1 - l.failureRate)
 		l.eject(now)
 	case Misdirected:
--- a/internal/leafpick/leaf.go
+++ b/internal/leafpick/leaf.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/redwingshelf/redwingshelf/internal/catalog"
+	"github.com/redwingshelf/redwingshelf/internal/pace"
 )
 
 const (
@@ -99,6 +100,11 @@
 	// coldUntil is the end of the leaf's cold start.
 	coldUntil      time.Duration
 	nextColdPermit time.Duration
+	// wasCold is set from the begin of a cold start until the pace after it begins.
+	wasCold bool
+	// pace is the pace of a leaf that has just started or recovered. It is found if paced is set.
+	pace  pace.Pace
+	paced bool
 	// quietUntil is the end of the time for which the leaf wants no requests.
 	quietUntil time.Duration
 }
@@ -127,6 +133,24 @@
 
 func (l *Leaf) cold(now time.Duration) bool { return now < l.coldUntil }
 
+// beginPace finds the pace of the leaf anew.
+func (l *Leaf) beginPace() {
+	if l.paced {
+		l.pace.Begin(l.Entry.Slots)
+	}
+}
+
+// checkWarm begins the pace of a leaf whose cold start has ended.
+func (l *Leaf) checkWarm(now time.Duration) {
+	switch cold := l.cold(now); {
+	case cold:
+		l.wasCold = true
+	case l.wasCold:
+		l.wasCold = false
+		l.beginPace()
+	}
+}
+
 func (l *Leaf) quiet(now time.Duration) bool { return now < l.quietUntil }
 
 // expectedLatency returns the expected latency of one more call, given that the calls in
@@ -196,6 +220,9 @@
 }
 
 func (l *Leaf) restore() {
+	if l.ejected {
+		l.beginPace()
+	}
 	l.ejected = false
 	l.ejectDuration = 0
 }
