Give credit sooner after all nodes have started

The first allotments covered one second and came after it, while nodes still disagreed on the grantors, so that much of what they held was at nodes that nobody asked. They now begin after half a second, as long as three times the known hosts are assumed, and come every 0.2 to 0.3 s until the node is two seconds old. A pot that has just begun measures its fraction by its age.

--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -12,13 +12,14 @@
 
 // Bounds that the model checks, as the users' large sites set them.
 const (
-	window        = 5 * time.Second
-	overage       = 0.25
-	slack         = 20
-	burstSlack    = 0.4 * slack
-	modelStep     = 50 * time.Millisecond
-	modelLength   = 60 * time.Second
-	discoveryTime = time.Second
+	window      = 5 * time.Second
+	overage     = 0.25
+	slack       = 20
+	burstSlack  = 0.4 * slack
+	modelStep   = 50 * time.Millisecond
+	modelLength = 60 * time.Second
+	firstAllot  = 500 * time.Millisecond
+	earlyAllot  = 250 * time.Millisecond
 )
 
 // brokenness selects a protocol that is broken on purpose.
@@ -100,7 +101,7 @@
 		skew: time.Duration(m.rng.Int64N(int64(time.Hour))), known: map[string]string{host: dataCentre},
 	}
 	p.allotter, p.pot = NewAllotter(p.name, p.clock(m.now)), NewPot(p.clock(m.now))
-	p.nextAllot = m.now + discoveryTime + time.Duration(m.rng.Int64N(int64(100*time.Millisecond)))
+	p.nextAllot = m.now + firstAllot + time.Duration(m.rng.Int64N(int64(100*time.Millisecond)))
 	m.processes = append(m.processes, p)
 }
 
@@ -195,8 +196,12 @@
 	if m.now < p.nextAllot || m.now < p.pausedUntil {
 		return
 	}
+	age := m.now - p.started
 	p.nextAllot = m.now + AllotInterval
-	for _, a := range p.allotter.Allot(p.clock(m.now), p.ring, m.hosts(p)) {
+	if age < 2*AllotInterval {
+		p.nextAllot = m.now + earlyAllot
+	}
+	for _, a := range p.allotter.Allot(p.clock(m.now), p.ring, AssumedHosts(m.hosts(p), age)) {
 		m.send(p, m.process(a.To), modelMessage{allotment: &a.Allotment})
 	}
 }
--- a/internal/quota/pot.go
+++ b/internal/quota/pot.go
@@ -52,6 +52,8 @@
 	// current and previous are what has been earned in this fractionWindow and in the one before.
 	current, previous float64
 	windowEnd         time.Duration
+	// start is when the pot was created.
+	start time.Duration
 }
 
 // allowance is a time that grows with the clock up to maxSpan, and is used up.
@@ -94,6 +96,7 @@
 	for i := range p.slots {
 		p.slots[i].allowance.at = now
 		p.slots[i].windowEnd = now + fractionWindow
+		p.slots[i].start = now
 	}
 	return p
 }
@@ -145,7 +148,8 @@
 // fraction returns which fraction of the limits the grantor has been allotted lately.
 func (s *slotState) fraction(now time.Duration) float64 {
 	s.roll(now)
-	return min(max(s.previous, s.current)/fractionWindow.Seconds(), 1)
+	window := min(max(now-s.start, AllotInterval/2), fractionWindow)
+	return min(max(s.previous, s.current)/window.Seconds(), 1)
 }
 
 // Grant takes a credit for one request. Without credit it returns false and the time after which
--- a/internal/quota/ring.go
+++ b/internal/quota/ring.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/redwingshelf/redwingshelf/internal/rendezvous"
 )
@@ -114,6 +115,22 @@
 // Grantors returns the grantors of a tenant.
 func (r *Ring) Grantors(tenant string) []*Grantor { return r.bySlot[slotOf(tenant)] }
 
+const (
+	// discoveryTime is the age at which a process knows most hosts of its fleet. Before, it assumes
+	// earlyFactor times as many as it knows.
+	discoveryTime = 750 * time.Millisecond
+	earlyFactor   = 3
+)
+
+// AssumedHosts returns the number of hosts that a process of some age assumes, given those that it
+// knows.
+func AssumedHosts(known int, age time.Duration) int {
+	if age < discoveryTime {
+		return earlyFactor * known
+	}
+	return known
+}
+
 // Hosts counts the hosts of a fleet, from those that a process knows by data centre, dead ones
 // included. A process that has just started behind a cut knows only those on its side; it assumes
 // that the data centres from which it knows none have as many hosts as the largest known one. alone
--- a/internal/relaynode/quota.go
+++ b/internal/relaynode/quota.go
@@ -33,8 +33,10 @@
 	maxDenialTime = 200 * time.Millisecond
 	// maxDenials bounds the denials that are remembered.
 	maxDenials = 4096
-	// maxFirstAllotJitter spreads the allotments of nodes that start together.
-	maxFirstAllotJitter = 100 * time.Millisecond
+	// earlyAllotInterval is the time between the first allotments, while nodes still learn which of
+	// them grant credits. maxAllotJitter spreads those of nodes that start together.
+	earlyAllotInterval = 200 * time.Millisecond
+	maxAllotJitter     = 100 * time.Millisecond
 	// burstSlackRatio is the fraction of QuotaSlack by which the burst of each limit is enlarged.
 	// The rest covers overdrawn buckets and changes of the fleet.
 	burstSlackRatio = 0.4
@@ -132,25 +134,28 @@
 	return host
 }
 
-// run sends the node's allotments until ctx ends. The first one is sent once the peers are known, for
-// the time since the start.
+// run sends the node's allotments until ctx ends. The first ones are sent while peers are still being
+// discovered, so that there is credit soon after all nodes have started.
 func (q *quotas) run(ctx context.Context) {
-	allotter := quota.NewAllotter(q.node.process, bootclock.Now())
-	if periodic.Sleep(ctx, peerDiscoveryTime+time.Duration(rand.Int64N(int64(maxFirstAllotJitter)))) != nil {
-		return
+	start := bootclock.Now()
+	allotter := quota.NewAllotter(q.node.process, start)
+	for wait := peerDiscoveryTime / 2; bootclock.Now()-start < 2*peerDiscoveryTime; wait = earlyAllotInterval {
+		if periodic.Sleep(ctx, wait+time.Duration(rand.Int64N(int64(maxAllotJitter)))) != nil {
+			return
+		}
+		q.allot(allotter, start)
 	}
-	q.allot(allotter)
-	periodic.Run(ctx, quota.AllotInterval, func() { q.allot(allotter) })
+	periodic.Run(ctx, quota.AllotInterval, func() { q.allot(allotter, start) })
 }
 
 // allot hands over what the node's share has earned.
-func (q *quotas) allot(allotter *quota.Allotter) {
+func (q *quotas) allot(allotter *quota.Allotter, start time.Duration) {
 	now := bootclock.Now()
 	if !q.needed() {
 		allotter.Skip(now)
 		return
 	}
-	for _, a := range allotter.Allot(now, q.ring.Load(), int(q.hosts.Load())) {
+	for _, a := range allotter.Allot(now, q.ring.Load(), quota.AssumedHosts(int(q.hosts.Load()), now-start)) {
 		q.metrics.allotments.Inc(1)
 		if a.To == q.node.settings.PeerListen {
 			q.add(&a.Allotment)
