--- a/internal/relaynode/quota.go
+++ b/internal/relaynode/quota.go
@@ -69,8 +69,11 @@
 type quotas struct {
 	node    *Node
 	metrics quotaMetrics
-	ring    atomic.Pointer[quota.Ring]
 	hosts   atomic.Int64
+	// ringMu guards nodes, the live nodes, and their ring, which is nil until it is needed.
+	ringMu sync.Mutex
+	nodes  []quota.Node
+	ring   *quota.Ring
 	// potMu guards pot, the credit that this node grants.
 	potMu sync.Mutex
 	pot   *quota.Pot
@@ -121,7 +124,19 @@
 	}
 	alone := len(hosts) == 1 && len(otherAddresses(q.node.settings.Seeds, q.node.settings.PeerListen)) > 0
 	q.hosts.Store(int64(quota.Hosts(byDataCentre, q.node.settings.DataCentres, alone)))
-	q.ring.Store(quota.NewRing(nodes))
+	q.ringMu.Lock()
+	defer q.ringMu.Unlock()
+	q.nodes, q.ring = nodes, nil
+}
+
+// currentRing returns the ring of the live nodes.
+func (q *quotas) currentRing() *quota.Ring {
+	q.ringMu.Lock()
+	defer q.ringMu.Unlock()
+	if q.ring == nil {
+		q.ring = quota.NewRing(q.nodes)
+	}
+	return q.ring
 }
 
 func quotaNode(m *member.Member) quota.Node {
@@ -155,7 +170,7 @@
 		allotter.Skip(now)
 		return
 	}
-	for _, a := range allotter.Allot(now, q.ring.Load(), quota.AssumedHosts(int(q.hosts.Load()), now-start)) {
+	for _, a := range allotter.Allot(now, q.currentRing(), quota.AssumedHosts(int(q.hosts.Load()), now-start)) {
 		q.metrics.allotments.Inc(1)
 		if a.To == q.node.settings.PeerListen {
 			q.add(&a.Allotment)
@@ -276,7 +291,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var far, late []string
-	for _, g := range q.ring.Load().Grantors(tenant) {
+	for _, g := range q.currentRing().Grantors(tenant) {
 		if left := q.deniedUntil[denial{tenant, g.Address}].Sub(now); left > 0 {
 			if wait == 0 || left < wait {
 				wait = left
