--- a/internal/leafconn/pool_test.go
+++ b/internal/leafconn/pool_test.go
@@ -30,6 +30,16 @@
 // servedOrder has requests of the given priorities wait for one connection, and returns
 // their indices in the order in which they got it.
 func servedOrder(t *testing.T, priorities []int) []int {
+	requests := make([]Request, len(priorities))
+	for i, priority := range priorities {
+		requests[i].Priority = priority
+	}
+	return servedIndices(t, requests)
+}
+
+// servedIndices has requests wait for one connection, and returns their indices in the order in which
+// they got it.
+func servedIndices(t *testing.T, requests []Request) []int {
 	var served []int
 	synctest.Test(t, func(t *testing.T) {
 		p := NewPool("leaf", 1, true, memlimit.New(0))
@@ -37,9 +47,9 @@
 		defer func() { _, _ = near.Close(), far.Close() }()
 		c := newConn(p, near)
 		p.open = 1
-		for i, priority := range priorities {
+		for i := range requests {
 			go func() {
-				got, err := p.acquire(context.Background(), &Request{Priority: priority})
+				got, err := p.acquire(context.Background(), &requests[i])
 				if assert.NoError(t, err) {
 					served = append(served, i)
 					p.release(got)
--- a/internal/leafconn/waiter_test.go
+++ b/internal/leafconn/waiter_test.go
@@ -1,11 +1,9 @@
 package leafconn
 
 import (
-	"context"
 	"errors"
 	"net"
 	"testing"
-	"testing/synctest"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -15,27 +13,10 @@
 
 // servedRequests has requests wait for one connection, and returns their tenants in the order in
 // which they got it.
-func servedRequests(t *testing.T, requests []Request) []string {
-	var served []string
-	synctest.Test(t, func(t *testing.T) {
-		p := NewPool("leaf", 1, true, memlimit.New(0))
-		near, far := net.Pipe()
-		defer func() { _, _ = near.Close(), far.Close() }()
-		c := newConn(p, near)
-		p.open = 1
-		for i := range requests {
-			go func() {
-				got, err := p.acquire(context.Background(), &requests[i])
-				if assert.NoError(t, err) {
-					served = append(served, requests[i].Tenant)
-					p.release(got)
-				}
-			}()
-			synctest.Wait()
-		}
-		p.release(c)
-		synctest.Wait()
-	})
+func servedRequests(t *testing.T, requests []Request) (served []string) {
+	for _, i := range servedIndices(t, requests) {
+		served = append(served, requests[i].Tenant)
+	}
 	return served
 }
 
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -139,7 +139,7 @@
 	request.Header.Set(platformtest.HeaderDeadline, "1200")
 	if key != "" {
 		request.Header.Set(platformtest.HeaderKey, key)
-		request.Header.Set("Tenant", "claimed")
+		request.Header.Set(platformtest.HeaderTenant, "claimed")
 	}
 	r := exchange{id: id, path: path, key: key, node: n, from: time.Now(), reused: reused}
 	response, err := (&http.Client{Transport: transport}).Do(request)
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -25,17 +25,13 @@
 var binary string
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "redwingshelf-soak")
+	path, remove, err := platformtest.BuildNode()
 	if err != nil {
 		panic(err)
 	}
-	binary = filepath.Join(dir, "redwingshelf")
-	build := exec.Command("go", "build", "-o", binary, "github.com/redwingshelf/redwingshelf/cmd/redwingshelf")
-	if out, err := build.CombinedOutput(); err != nil {
-		panic(fmt.Sprintf("build the node: %v\n%s", err, out))
-	}
+	binary = path
 	code := m.Run()
-	_ = os.RemoveAll(dir)
+	remove()
 	os.Exit(code)
 }
 
