--- a/internal/relay/access.go
+++ b/internal/relay/access.go
@@ -149,7 +149,8 @@
 	case err != nil:
 		return kind.Errorf(kind.Unavailable, "the tenant's quota is not known: %w", err)
 	case credit == nil:
-		return withRetryAfter(kind.Errorf(kind.QuotaExceeded, "the tenant has no credit for %v", wait), max(wait, minRetryAfter))
+		return withRetryAfter(kind.Errorf(kind.QuotaExceeded, "the tenant has no credit for %v; its limit is %v requests/s with a burst of %v",
+			wait, r.caller.tenant.RatePerSecond, r.caller.tenant.Burst), max(wait, minRetryAfter))
 	}
 	r.caller.credit = credit
 	return nil
