--- a/internal/catalog/revision.go
+++ b/internal/catalog/revision.go
@@ -16,5 +16,11 @@
 	return revision >> revisionBits, revision & (1<<revisionBits - 1)
 }
 
+// Number returns the number of a revision in its era, for logs.
+func Number(revision uint64) uint64 {
+	_, number := SplitRevision(revision)
+	return number
+}
+
 // laterEra reports whether a revision is of a later era than another one.
 func laterEra(revision, other uint64) bool { return revision>>revisionBits > other>>revisionBits }
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -318,7 +318,7 @@
 	if a.Missing > 0 {
 		h.log.Note("partial answer", q.request.id, zap.String("route", q.request.route.Name),
 			zap.Int("missing", a.Missing), zap.Int("failed", q.failed), zap.Duration("after", time.Since(q.request.received)),
-			zap.Uint64("as_of", q.request.view.AsOf))
+			zap.Uint64("as_of", catalog.Number(q.request.view.AsOf)))
 	}
 	header := w.Header()
 	h.dialect.SetGatheredHeaders(header, a.Signatures, a.Missing)
@@ -386,7 +386,7 @@
 	}
 	fields := []zap.Field{
 		zap.Stringer("kind", k), zap.Int("status", status), zap.Error(err),
-		zap.Duration("after", time.Since(r.received)), zap.Uint64("as_of", r.view.AsOf),
+		zap.Duration("after", time.Since(r.received)), zap.Uint64("as_of", catalog.Number(r.view.AsOf)),
 	}
 	if r.route != nil {
 		fields = append(fields, zap.String("route", r.route.Name))
--- a/internal/relaynode/node.go
+++ b/internal/relaynode/node.go
@@ -191,7 +191,7 @@
 	}
 	n.services.Update()
 	if view.Table != nil && len(view.Leaves) > 0 && n.crashesSynced.Load() && !n.isReady.Swap(true) {
-		n.logger.Info("node ready", zap.Int64("version", view.Table.Version), zap.Uint64("as_of", view.AsOf))
+		n.logger.Info("node ready", zap.Int64("version", view.Table.Version), zap.Uint64("as_of", catalog.Number(view.AsOf)))
 	}
 }
 
--- a/internal/statesync/watcher.go
+++ b/internal/statesync/watcher.go
@@ -233,11 +233,11 @@
 	asked := w.options.BootTime()
 	u, err := w.options.Store.Watch(ctx, c.View().AsOf, wait)
 	if errors.Is(err, ErrHistoryLost) {
-		w.options.Logger.Warn("history of the store is lost, reading a snapshot", zap.Uint64("as_of", c.View().AsOf))
+		w.options.Logger.Warn("history of the store is lost, reading a snapshot", zap.Uint64("as_of", catalog.Number(c.View().AsOf)))
 		return false, w.readStore(ctx, readTimeout)
 	}
 	if errors.Is(err, ErrUpdateTooLarge) {
-		w.options.Logger.Warn("changes in the store are too many, reading a snapshot", zap.Uint64("as_of", c.View().AsOf), zap.Error(err))
+		w.options.Logger.Warn("changes in the store are too many, reading a snapshot", zap.Uint64("as_of", catalog.Number(c.View().AsOf)), zap.Error(err))
 		return true, w.readStore(ctx, readTimeout)
 	}
 	if err != nil {
@@ -391,7 +391,7 @@
 		return
 	}
 	w.options.Logger.Info("following a source", zap.String("source", source), zap.String("before", w.current),
-		zap.Uint64("as_of", w.options.Catalog.View().AsOf))
+		zap.Uint64("as_of", catalog.Number(w.options.Catalog.View().AsOf)))
 	w.current = source
 }
 
@@ -444,8 +444,7 @@
 
 func logChange(logger *zap.Logger, e *catalog.Event, asOf uint64) {
 	era, revision := catalog.SplitRevision(e.Change.Revision)
-	_, asOf = catalog.SplitRevision(asOf)
-	fields := []zap.Field{zap.String("key", e.Change.Key), zap.Uint64("revision", revision), zap.Uint64("era", era), zap.Uint64("as_of", asOf)}
+	fields := []zap.Field{zap.String("key", e.Change.Key), zap.Uint64("revision", revision), zap.Uint64("era", era), zap.Uint64("as_of", catalog.Number(asOf))}
 	switch {
 	case e.Ignored != "":
 		logger.Info("change ignored", append(fields, zap.String("reason", e.Ignored))...)
