--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
   [ -x "$program" ] || { echo "could not run: $program is not built"; exit 2; }
 done
 export TROUBLE="${TROUBLE:-1}"
-exec target/review-2/standin poison review/8/record.txt
+exec target/review-2/standin gone review/8/record.txt
