--- a/review/_standin-2/leaf.go
+++ b/review/_standin-2/leaf.go
@@ -157,6 +157,7 @@
 		if err != nil {
 			return
 		}
+		read := time.Now()
 		if l.early != nil && !l.early(id, c, r) {
 			return
 		}
@@ -177,7 +178,12 @@
 		if l.before != nil {
 			l.before(a)
 		}
-		if !l.enter(id) {
+		ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms"))
+		if err != nil {
+			ms = int(defaultDeadline.Milliseconds())
+		}
+		deadline := read.Add(time.Duration(ms) * time.Millisecond)
+		if !l.enter(id, deadline) {
 			l.record.add(event{Kind: "rejected", ID: a.id, Leaf: id, Service: l.service, Path: a.path})
 			write(c, http.StatusServiceUnavailable, http.Header{"Attempt-Id": {a.id}, "Not-Executed": {"1"}}, nil)
 			continue
@@ -191,13 +197,21 @@
 		l.mu.Lock()
 		work := l.work
 		l.mu.Unlock()
+		status := http.StatusOK
+		if left := time.Until(deadline); left < work {
+			// The leaf stops work at the deadline.
+			status, work = http.StatusGatewayTimeout, left
+		}
 		time.Sleep(work)
 		l.leave(id)
 		answer := wholeAnswer(id, a.id)
-		write(c, http.StatusOK, http.Header{"Attempt-Id": {a.id}, "Response-Stamp": {stamp(id, a.id)}}, answer)
+		write(c, status, http.Header{"Attempt-Id": {a.id}, "Response-Stamp": {stamp(id, a.id)}}, answer)
 	}
 }
 
+// defaultDeadline is the deadline of a request that states none.
+const defaultDeadline = 10 * time.Second
+
 // crashTime is how long a leaf is down that a request has crashed.
 const crashTime = 2 * time.Second
 
@@ -228,8 +242,9 @@
 	return leaves
 }
 
-// enter waits for a slot. It reports false if the leaf is full or has ended.
-func (l *leaf) enter(id string) bool {
+// enter waits for a slot. It reports false if the leaf is full or has ended, or if the deadline has
+// passed in its queue.
+func (l *leaf) enter(id string, deadline time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.running >= l.slots && l.waiting >= l.queue {
@@ -243,6 +258,10 @@
 		return false
 	}
 	l.waiting--
+	if time.Now().After(deadline) {
+		l.freed.Signal()
+		return false
+	}
 	l.running++
 	return true
 }
