--- a/internal/hostile/hostile_test.go
+++ b/internal/hostile/hostile_test.go
@@ -10,15 +10,12 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/redwingshelf/redwingshelf/platform/platformtest"
@@ -55,144 +52,6 @@
 	os.Exit(code)
 }
 
-// node is a node process in front of one leaf.
-type node struct {
-	t     *testing.T
-	front string
-	cmd   *exec.Cmd
-	ended chan struct{}
-	log   string
-}
-
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
-func startNode(t *testing.T) *node {
-	store := platformtest.NewStore()
-	t.Cleanup(store.Close)
-	store.PutConfig(&platformtest.Config{
-		Version:  1,
-		Limits:   map[string]int{"maxHeaderBytes": headBytes, "maxBodyBytes": bodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		Services: []platformtest.Service{{Name: "s", MaxConns: 20}},
-		Routes: []platformtest.Route{
-			{Name: "one", Host: "shop.example", Prefix: "/", Kind: "non_idempotent", TimeoutMS: 60000, TargetLatencyMS: 400, Service: "s", MaxAttempts: 1},
-		},
-	})
-	leaf, err := platformtest.StartLeaf(platformtest.LeafOptions{ID: "i-1", Service: "s", Zone: "z", Listen: "127.0.0.1:0"}, store, new(platformtest.Journal))
-	require.NoError(t, err)
-	t.Cleanup(leaf.Kill)
-	dir := t.TempDir()
-	ready, peers := freeAddress(t), freeAddress(t)
-	_, peerPort, err := net.SplitHostPort(peers)
-	require.NoError(t, err)
-	n := &node{t: t, front: freeAddress(t), ended: make(chan struct{}), log: filepath.Join(dir, "log")}
-	settings := fmt.Sprintf(`node = "n"
-ip = "127.0.0.1"
-zone = "z"
-internalPorts = [%s, %s]
-seeds = []
-[listen]
-front = %q
-ready = %q
-[limits]
-memoryMb = %d
-maxFds = %d
-[bounds]
-graceS = 2
-[platform]
-address = %q
-`, peerPort, peerPort, n.front, ready, memoryMB, maxFiles, store.Address())
-	file := filepath.Join(dir, "node.toml")
-	require.NoError(t, os.WriteFile(file, []byte(settings), 0o600))
-	log, err := os.Create(n.log)
-	require.NoError(t, err)
-	n.cmd = exec.Command(binary, "relay", "--settings", file)
-	n.cmd.Stdout, n.cmd.Stderr = log, log
-	require.NoError(t, n.cmd.Start())
-	go func() {
-		_ = n.cmd.Wait()
-		close(n.ended)
-	}()
-	t.Cleanup(func() {
-		_ = n.cmd.Process.Kill()
-		<-n.ended
-		_ = log.Close()
-	})
-	require.Eventually(t, func() bool {
-		response, err := http.Get("http://" + ready + "/redwingshelf/ready")
-		if err != nil {
-			return false
-		}
-		_ = response.Body.Close()
-		return response.StatusCode == http.StatusOK
-	}, 20*time.Second, 20*time.Millisecond)
-	return n
-}
-
-// peakMemoryMB returns the highest resident memory of the process so far.
-func (n *node) peakMemoryMB() int {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(data)) {
-		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
-			kb, err := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(value), " kB"))
-			require.NoError(n.t, err)
-			return kb / 1024
-		}
-	}
-	return 0
-}
-
-func (n *node) openFiles() int {
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	return len(entries)
-}
-
-// watch returns the largest number of open descriptors until stop is closed.
-func (n *node) watch(stop <-chan struct{}) int {
-	most := 0
-	for {
-		most = max(most, n.openFiles())
-		select {
-		case <-stop:
-			return most
-		case <-time.After(5 * time.Millisecond):
-		}
-	}
-}
-
-// ordinaryRequest sends a small request on a new connection, and again if it was refused.
-func (n *node) ordinaryRequest(body string) int {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
-	status := 0
-	for range 20 {
-		request, err := http.NewRequest(http.MethodPost, "http://"+n.front+"/x", strings.NewReader(body))
-		require.NoError(n.t, err)
-		request.Host = "shop.example"
-		request.Header.Set(platformtest.HeaderAttempt, fmt.Sprintf("%016x", time.Now().UnixNano()))
-		request.Header.Set(platformtest.HeaderDeadline, "4000")
-		response, err := client.Do(request)
-		if err == nil {
-			status = response.StatusCode
-			_ = response.Body.Close()
-		}
-		if status == http.StatusOK {
-			return status
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	return status
-}
-
 // head returns a request head with further header lines.
 func head(lines string) string {
 	return "POST /x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: 1\r\nDeadline-Ms: 60000\r\n" + lines
@@ -302,46 +161,67 @@
 			n := startNode(t)
 			require.Equal(t, http.StatusOK, n.ordinaryRequest("b"))
 			require.Equal(t, http.StatusOK, n.ordinaryRequest(strings.Repeat("b", bodyBytes)), "a single request of the largest size")
-			stop := make(chan struct{})
-			files := make(chan int, 1)
-			go func() { files <- n.watch(stop) }()
-			var conns []net.Conn
-			var mu sync.Mutex
-			var group sync.WaitGroup
-			for i := range attack.callers {
-				group.Go(func() {
-					c, err := net.Dial("tcp", n.front)
-					if err != nil {
-						return
-					}
-					mu.Lock()
-					conns = append(conns, c)
-					mu.Unlock()
-					// A node may stop reading; the caller does not wait for ever.
-					_ = c.SetWriteDeadline(time.Now().Add(10 * time.Second))
-					attack.send(c, i%finishing == 0)
-				})
-			}
-			group.Wait()
-			time.Sleep(time.Second)
-			assert.Equal(t, http.StatusOK, n.ordinaryRequest("b"), "an ordinary request while the crowd stays")
-			close(stop)
-			assert.Less(t, <-files, maxFiles-reservedFiles, "open descriptors")
-			peak := n.peakMemoryMB()
-			t.Logf("%d MB at most", peak)
-			assert.Less(t, peak, memoryMB, "memory in MB")
-			select {
-			case <-n.ended:
-				t.Error("the process has ended")
-			default:
-			}
-			for _, c := range conns {
-				_ = c.Close()
-			}
-			if t.Failed() {
-				data, _ := os.ReadFile(n.log)
-				t.Logf("%s", data[max(len(data)-2000, 0):])
+			c := new(callers)
+			defer c.close()
+			n.underPressure(func() {
+				c.open(n.front, attack.callers, attack.send)
+				c.wait()
+			}, func() int { return n.ordinaryRequest("b") })
+		})
+	}
+}
+
+// callers are the connections of a crowd.
+type callers struct {
+	group sync.WaitGroup
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// open opens n connections to an address at once, on each of which send writes what its caller sends.
+func (c *callers) open(address string, n int, send func(w io.Writer, finish bool)) {
+	for i := range n {
+		c.group.Go(func() {
+			if conn := c.dial(address); conn != nil {
+				send(conn, i%finishing == 0)
 			}
 		})
 	}
 }
+
+// dial opens a connection. It returns nil if that fails.
+func (c *callers) dial(address string) net.Conn {
+	// A small receive buffer is full soon if the caller reads nothing.
+	dialer := net.Dialer{Control: setReceiveBuffer}
+	conn, err := dialer.Dial("tcp", address)
+	if err != nil {
+		return nil
+	}
+	c.mu.Lock()
+	c.conns = append(c.conns, conn)
+	c.mu.Unlock()
+	// A node may stop reading; the caller does not wait for ever.
+	_ = conn.SetWriteDeadline(time.Now().Add(10 * time.Second))
+	return conn
+}
+
+// wait returns some time after all callers have sent what they send.
+func (c *callers) wait() {
+	c.group.Wait()
+	time.Sleep(time.Second)
+}
+
+func (c *callers) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+}
+
+// setReceiveBuffer gives a socket a small receive buffer.
+func setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096)
+	})
+}
