--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -69,6 +69,8 @@
 	net.Conn
 	listener *Listener
 	entry    *intake.Conn
+	// headRead is set while the body of a request is read. listener.mu guards it.
+	headRead bool
 }
 
 // Listen bounds the connections of a listener.
@@ -143,7 +145,11 @@
 	}
 	l := c.listener
 	l.mu.Lock()
-	victims, ok := l.account.Grow(l.now(), c.entry, n)
+	size := n
+	if !c.headRead {
+		size = intake.HeadSize(b[:n])
+	}
+	victims, ok := l.account.Grow(l.now(), c.entry, size)
 	_, present := l.byAccount[c.entry]
 	var removed []*Conn
 	for _, v := range victims {
@@ -186,24 +192,27 @@
 	}
 }
 
-// RequestRead reports that a request has been read completely on a connection.
-func RequestRead(conn net.Conn) {
-	if c, ok := conn.(*Conn); ok {
-		c.setPhase(intake.Serving)
-	}
-}
-
 type contextKey struct{}
 
-// WithConn is the ConnContext hook of a server whose handler calls RequestReadIn.
+// WithConn is the ConnContext hook of a server whose handler is a Handler and calls RequestRead.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, contextKey{}, c)
 }
 
-// RequestReadIn is RequestRead for the connection of a request's context.
-func RequestReadIn(ctx context.Context) {
-	if c, ok := ctx.Value(contextKey{}).(net.Conn); ok {
-		RequestRead(c)
+// Handler passes requests to next, and takes what arrives from then on for their bodies.
+func Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(contextKey{}).(*Conn); ok {
+			c.setHeadRead()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// RequestRead reports that a request has been read completely. It takes the context of the request.
+func RequestRead(ctx context.Context) {
+	if c, ok := ctx.Value(contextKey{}).(*Conn); ok {
+		c.setPhase(intake.Serving)
 	}
 }
 
@@ -215,9 +224,20 @@
 	return conn
 }
 
+func (c *Conn) setHeadRead() {
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.headRead = true
+}
+
 func (c *Conn) setPhase(p intake.Phase) {
 	l := c.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.account.SetPhase(l.now(), c.entry, p)
+	if p != intake.Receiving {
+		// What arrives next belongs to the head of another request.
+		c.headRead = false
+	}
 }
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		return nil, kind.Errorf(kind.BadRequest, "read the request body: %w", err)
 	}
-	callerconn.RequestReadIn(r.Context())
+	callerconn.RequestRead(r.Context())
 	if !json.Valid(body) {
 		return nil, kind.Errorf(kind.BadRequest, "request body is not JSON")
 	}
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -9,6 +9,7 @@
 package intake
 
 import (
+	"bytes"
 	"errors"
 	"time"
 )
@@ -21,6 +22,8 @@
 	smallBytes = 16 << 10
 	// largeShare is the fraction of the bytes that requests may hold beyond smallBytes each.
 	largeShare = 0.75
+	// fieldBytes is about the memory that a field of a decoded head takes beside its bytes.
+	fieldBytes = 160
 )
 
 // Limits bound what all callers together hold.
@@ -54,6 +57,9 @@
 	index int
 }
 
+// HeadSize returns the size of a part of a request's head with what its decoded fields take.
+func HeadSize(part []byte) int { return len(part) + fieldBytes*bytes.Count(part, []byte{'\n'}) }
+
 // Account holds the connections of all callers.
 type Account struct {
 	limits Limits
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -244,7 +244,7 @@
 	}, entry.ReportUndecidedAsUnknown(), entry.Identify(n.table), entry.Deadline())
 	limits := n.settings.Limits
 	return &http.Server{
-		Handler:           entry.NewHTTP(handler, n.tickets.Issue, int64(limits.MaxBodyBytes)),
+		Handler:           callerconn.Handler(entry.NewHTTP(handler, n.tickets.Issue, int64(limits.MaxBodyBytes))),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadTimeout:       limits.ReadTimeout(),
 		ReadHeaderTimeout: limits.ReadTimeout(),
--- a/internal/relaynode/callerconn.go
+++ b/internal/relaynode/callerconn.go
@@ -34,14 +34,7 @@
 
 // withCallerConn is the ConnContext hook of the server.
 func withCallerConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, &callerConn{conn: c})
-}
-
-// requestRead reports that a request has been read completely.
-func requestRead(ctx context.Context) {
-	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
-		callerconn.RequestRead(c.conn)
-	}
+	return context.WithValue(callerconn.WithConn(ctx, c), callerConnKey{}, &callerConn{conn: c})
 }
 
 // callerMargin returns the time that a request and its answer take between the caller and
--- a/internal/relaynode/node.go
+++ b/internal/relaynode/node.go
@@ -114,7 +114,7 @@
 	n.quotas = newQuotas(n)
 	log := reqlog.New(n.logger, n.scope, time.Now)
 	n.handler = relay.NewHandler(relay.HandlerOptions{
-		RequestRead:  requestRead,
+		RequestRead:  callerconn.RequestRead,
 		CallerMargin: callerMargin, NonIdempotentMaxIdle: nonIdempotentMaxIdle, PublishCrashes: n.publishCrashes, RequestTrial: n.requestTrial,
 		SyncingCrashes: func() bool { return !n.crashesSynced.Load() },
 		Quotas:         n.quotas,
@@ -141,7 +141,7 @@
 	n.idle = newIdleConns(n.idleTimeout)
 	n.callers = callerconn.Listen(n.open.callers, callerconn.Limits(s.MemoryBytes, s.MaxFiles), n.scope.SubScope("callers"))
 	n.callerServer = &http.Server{
-		Handler: n.handler, ConnState: n.trackCaller, ConnContext: withCallerConn,
+		Handler: callerconn.Handler(n.handler), ConnState: n.trackCaller, ConnContext: withCallerConn,
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	n.readyServer = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
