--- a/internal/peer/contract_test.go
+++ b/internal/peer/contract_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -165,3 +166,36 @@
 		})
 	}
 }
+
+// failingListener fails to accept the first connections for lack of descriptors.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+// Accept implements net.Listener.
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+func TestServerGoesOnWhenAcceptingFails(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	traffic := NewTraffic(tally.NoopScope)
+	server := NewServer(&failingListener{Listener: listener, failures: 3}, wire.Hello{Host: "server", Incarnation: 1}, traffic, &scriptedHandler{})
+	served := make(chan error, 1)
+	go func() { served <- server.Serve() }()
+	pool := NewPool(wire.Hello{Host: "client", Incarnation: 2}, traffic, nil)
+	t.Cleanup(pool.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	_, _, ok, err := ask(ctx, pool, listener.Addr().String(), "leaf")
+	require.NoError(t, err)
+	require.True(t, ok)
+	server.Close()
+	require.NoError(t, <-served)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,15 +4,20 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/redwingshelf/redwingshelf/internal/kind"
 	"github.com/redwingshelf/redwingshelf/internal/wire"
 )
 
-const maxCallsPerLink = 8192
+const (
+	maxCallsPerLink = 8192
+	// acceptRetryDelay is the time from a failure to accept a connection, as for lack of descriptors, to
+	// the next try.
+	acceptRetryDelay = 50 * time.Millisecond
+)
 
 // Handler serves the calls and one-way messages of peers.
 type Handler interface {
@@ -106,11 +111,16 @@
 func (s *Server) Serve() error {
 	for {
 		conn, err := s.listener.Accept()
+		if s.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
 		if err != nil {
-			if s.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
+			s.traffic.acceptFailures.Inc(1)
+			select {
+			case <-time.After(acceptRetryDelay):
+			case <-s.ctx.Done():
 			}
-			return fmt.Errorf("accept a peer: %w", err)
+			continue
 		}
 		l := &serverLink{link: newLink(conn, s.hello, s.traffic), server: s, calls: map[uint64]runningCall{}}
 		if !s.add(l) {
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -10,6 +10,8 @@
 type Traffic struct {
 	sent     [wire.NumTypes]counters
 	received [wire.NumTypes]counters
+	// acceptFailures counts the failures to accept a connection.
+	acceptFailures tally.Counter
 }
 
 type counters struct {
@@ -19,7 +21,7 @@
 
 // NewTraffic returns a Traffic with its counters in a scope.
 func NewTraffic(scope tally.Scope) *Traffic {
-	t := &Traffic{}
+	t := &Traffic{acceptFailures: scope.Counter("accept_failures")}
 	for i := range wire.NumTypes {
 		tagged := scope.Tagged(map[string]string{"type": i.String()})
 		t.sent[i] = counters{tagged.Counter("messages_sent"), tagged.Counter("bytes_sent")}
