--- a/internal/hostile/ports_test.go
+++ b/internal/hostile/ports_test.go
@@ -30,11 +30,11 @@
 		}},
 	}
 	for _, crowd := range crowds {
-		for _, port := range []string{"ready", "metrics"} {
+		for _, port := range []string{"ready", "metrics", "peers"} {
 			t.Run(crowd.name+" at "+port, func(t *testing.T) {
 				n := startNode(t)
 				require.Equal(t, http.StatusOK, n.ordinaryRequest("b"))
-				address := map[string]string{"ready": n.ready, "metrics": n.metrics}[port]
+				address := map[string]string{"ready": n.ready, "metrics": n.metrics, "peers": n.peers}[port]
 				c := new(callers)
 				defer c.close()
 				n.underPressure(func() {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -21,6 +21,8 @@
 	writeBufferSize = 64 << 10
 	writeTimeout    = 5 * time.Second
 	helloTimeout    = 500 * time.Millisecond
+	// maxHelloBytes bounds the first frame, whose sender is not known yet.
+	maxHelloBytes = 4 << 10
 )
 
 // Errors of links and streams.
@@ -77,7 +79,7 @@
 	if err := l.write([]wire.Frame{{Type: wire.TypeHello, Payload: payload}}); err != nil {
 		return err
 	}
-	frame, err := l.read(r)
+	frame, err := l.readAtMost(r, maxHelloBytes)
 	if err != nil {
 		return err
 	}
@@ -98,8 +100,10 @@
 	})
 }
 
-func (l *link) read(r *bufio.Reader) (wire.Frame, error) {
-	frame, err := wire.Read(r)
+func (l *link) read(r *bufio.Reader) (wire.Frame, error) { return l.readAtMost(r, wire.MaxPayload) }
+
+func (l *link) readAtMost(r *bufio.Reader, maxPayload uint32) (wire.Frame, error) {
+	frame, err := wire.ReadAtMost(r, maxPayload)
 	if err == nil {
 		l.touch()
 		l.traffic.countReceived(frame)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,9 @@
 
 const (
 	maxCallsPerLink = 8192
+	// maxHandshakes is the number of accepted connections whose peer is not known yet. Beyond it the
+	// oldest one is closed, so that connections which stay silent do not keep peers out.
+	maxHandshakes = 256
 	// acceptRetryDelay is the time from a failure to accept a connection, as for lack of descriptors, to
 	// the next try.
 	acceptRetryDelay = 50 * time.Millisecond
@@ -72,9 +76,11 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
-	// mu guards links.
+	// mu guards the fields below.
 	mu    sync.Mutex
 	links map[*serverLink]struct{}
+	// handshakes are the links whose handshake has not ended, the oldest first.
+	handshakes []*serverLink
 }
 
 // serverLink is the accepting end of a link, with its running calls.
@@ -150,9 +156,23 @@
 		return false
 	}
 	s.links[l] = struct{}{}
+	if len(s.handshakes) >= maxHandshakes {
+		s.handshakes[0].close()
+		s.handshakes = s.handshakes[1:]
+	}
+	s.handshakes = append(s.handshakes, l)
 	return true
 }
 
+// endHandshake removes a link from those whose handshake has not ended.
+func (s *Server) endHandshake(l *serverLink) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(s.handshakes, l); i >= 0 {
+		s.handshakes = slices.Delete(s.handshakes, i, i+1)
+	}
+}
+
 func (s *Server) remove(l *serverLink) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -164,7 +184,9 @@
 	defer l.wg.Wait()
 	defer l.close()
 	reader := bufio.NewReaderSize(l.conn, readBufferSize)
-	if err := l.handshake(reader); err != nil {
+	err := l.handshake(reader)
+	l.server.endHandshake(l)
+	if err != nil {
 		return
 	}
 	ctx, cancel := context.WithCancel(l.server.ctx)
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -145,7 +145,10 @@
 
 // Read reads one frame. It returns ErrVersion or ErrTooLarge, wrapped, for a
 // frame that it refuses. After any error r must not be used.
-func Read(r io.Reader) (Frame, error) {
+func Read(r io.Reader) (Frame, error) { return ReadAtMost(r, MaxPayload) }
+
+// ReadAtMost is Read for a frame whose payload has at most maxPayload bytes.
+func ReadAtMost(r io.Reader, maxPayload uint32) (Frame, error) {
 	var header [HeaderSize]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return Frame{}, err
@@ -154,8 +157,8 @@
 	if header[4] != Version {
 		return Frame{}, fmt.Errorf("%w: got %d, want %d", ErrVersion, header[4], Version)
 	}
-	if length > MaxPayload {
-		return Frame{}, fmt.Errorf("%w: %d bytes, at most %d", ErrTooLarge, length, MaxPayload)
+	if length > maxPayload {
+		return Frame{}, fmt.Errorf("%w: %d bytes, at most %d", ErrTooLarge, length, maxPayload)
 	}
 	payload, err := readPayload(r, int(length))
 	if err != nil {
