--- a/internal/hostile/own_test.go
+++ b/internal/hostile/own_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -110,6 +111,44 @@
 	return status
 }
 
+// asSearch returns what a caller of the product's own interface sends in place of data.
+func asSearch(data string) string {
+	return strings.Replace(data, "POST /x HTTP", "POST "+ownPath+" HTTP", 1)
+}
+
+// searchWriter replaces the first line of what is written to it by that of a search.
+type searchWriter struct {
+	io.Writer
+	begun bool
+}
+
+func (w *searchWriter) Write(data []byte) (int, error) {
+	if w.begun {
+		return w.Writer.Write(data)
+	}
+	w.begun = true
+	if _, err := io.WriteString(w.Writer, asSearch(string(data))); err != nil {
+		return 0, err
+	}
+	return len(data), nil
+}
+
+// TestCrowdsAtOwnInterface has the crowds of TestCrowds at the product's own interface.
+func TestCrowdsAtOwnInterface(t *testing.T) {
+	for _, attack := range attacks {
+		t.Run(attack.name, func(t *testing.T) {
+			n := startOwn(t, 3)
+			require.Equal(t, http.StatusOK, n.ordinaryRequest())
+			c := new(callers)
+			defer c.close()
+			n.underPressure(func() {
+				c.open(n.http, attack.callers, func(w io.Writer, finish bool) { attack.send(&searchWriter{Writer: w}, finish) })
+				c.wait()
+			}, n.ordinaryRequest)
+		})
+	}
+}
+
 // TestCrowdsAtOwnOperatorsPort has crowds at the port for operators.
 func TestCrowdsAtOwnOperatorsPort(t *testing.T) {
 	for _, attack := range attacks {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/redwingshelf/redwingshelf/internal/fleet"
 	"github.com/redwingshelf/redwingshelf/internal/holder"
 	"github.com/redwingshelf/redwingshelf/internal/hostlist"
+	"github.com/redwingshelf/redwingshelf/internal/intake"
 	"github.com/redwingshelf/redwingshelf/internal/once"
 	"github.com/redwingshelf/redwingshelf/internal/peer"
 	"github.com/redwingshelf/redwingshelf/internal/permit"
@@ -57,6 +58,7 @@
 	pool             *peer.Pool
 	peerServer       *peer.Server
 	callerServer     *http.Server
+	callerLimits     intake.Limits
 	operatorServer   *http.Server
 	self             once.Process
 	tickets          *entry.Tickets
@@ -118,6 +120,7 @@
 	n.config = n.newConfigController()
 	n.hosts = n.newHostsController()
 	n.callerServer = n.newCallerServer()
+	n.callerLimits = callerconn.Limits(memoryBytes(s.Limits), maxFiles(s.Limits))
 	n.operatorServer = n.newOperatorServer()
 	return n, nil
 }
@@ -155,9 +158,8 @@
 	defer cancel()
 	group, groupCtx := errgroup.WithContext(runCtx)
 	group.Go(n.peerServer.Serve)
-	group.Go(func() error {
-		return serve(n.callerServer, callerconn.Listen(n.listeners.http, callerconn.Limits(0, 0), n.scope.SubScope("callers")))
-	})
+	callers := callerconn.Listen(n.listeners.http, n.callerLimits, n.scope.SubScope("callers"))
+	group.Go(func() error { return serve(n.callerServer, callers) })
 	group.Go(func() error {
 		return serve(n.operatorServer, callerconn.ListenForOperators(n.listeners.ops, n.scope.SubScope("operators")))
 	})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -86,6 +86,11 @@
 	WriteTimeoutMS int `json:"write_timeout_ms"`
 	// IdleTimeoutMS is how long an idle connection of a caller is kept open.
 	IdleTimeoutMS int `json:"idle_timeout_ms"`
+	// MemoryBytes is the memory that the process may use. Zero means the memory limit of the Go runtime.
+	MemoryBytes int `json:"memory_bytes"`
+	// MaxFiles is the number of descriptors that the process may use. Zero means the limit of the
+	// operating system.
+	MaxFiles int `json:"max_files"`
 }
 
 // ReadTimeout returns ReadTimeoutMS as a duration.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -26,6 +26,11 @@
 	maxSizeBytes = 64 * mebibyte
 	maxRequests  = 1_000_000
 	maxTimeoutMS = 3_600_000
+	// A process that serves takes about half of minMemoryBytes and of minFiles.
+	minMemoryBytes = 32 * mebibyte
+	maxMemoryBytes = 1 << 40
+	minFiles       = 256
+	maxFiles       = 1 << 24
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
@@ -105,6 +110,12 @@
 	c.checkRange(l.ReadTimeoutMS, 1, maxTimeoutMS, path.Key("read_timeout_ms"))
 	c.checkRange(l.WriteTimeoutMS, 1, maxTimeoutMS, path.Key("write_timeout_ms"))
 	c.checkRange(l.IdleTimeoutMS, 1, maxTimeoutMS, path.Key("idle_timeout_ms"))
+	if l.MemoryBytes != 0 {
+		c.checkRange(l.MemoryBytes, minMemoryBytes, maxMemoryBytes, path.Key("memory_bytes"))
+	}
+	if l.MaxFiles != 0 {
+		c.checkRange(l.MaxFiles, minFiles, maxFiles, path.Key("max_files"))
+	}
 	c.checkRange(s.Stop.BalancerLagMS, 0, maxTimeoutMS, "/stop/balancer_lag_ms")
 }
 
