--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -117,7 +117,7 @@
 func (s *Server) Serve() error {
 	for {
 		conn, err := s.listener.Accept()
-		if s.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+		if err != nil && (s.ctx.Err() != nil || errors.Is(err, net.ErrClosed)) {
 			return nil
 		}
 		if err != nil {
