--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -29,6 +29,8 @@
 	// defaultConns and defaultRequestBytes apply if neither memory nor descriptors are limited.
 	defaultConns        = 16 << 10
 	defaultRequestBytes = 64 << 20
+	// writeBytes is the size of the parts in which answers are written.
+	writeBytes = 64 << 10
 	// minConns and minRequestBytes let a process serve also if its limits are set too low for that.
 	minConns        = 16
 	minRequestBytes = 1 << 20
@@ -122,12 +124,17 @@
 	return c
 }
 
-// remove closes a connection that lost its place to another one.
+// remove closes a connection that lost its place to another one. It is reset, so that the system frees
+// what its caller has not taken.
 func (l *Listener) remove(c *Conn) {
-	if c != nil {
-		l.removed.Inc(1)
-		_ = c.Conn.Close()
+	if c == nil {
+		return
+	}
+	l.removed.Inc(1)
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
 	}
+	_ = c.Conn.Close()
 }
 
 // Usage returns the number of connections and the bytes of their requests.
@@ -168,6 +175,25 @@
 	return n, err
 }
 
+// Write implements net.Conn. It writes long data in parts, to know when the caller has taken one.
+func (c *Conn) Write(b []byte) (int, error) {
+	l := c.listener
+	l.mu.Lock()
+	l.account.BeginAnswer(l.now(), c.entry)
+	l.mu.Unlock()
+	written := 0
+	for {
+		n, err := c.Conn.Write(b[written:min(written+writeBytes, len(b))])
+		written += n
+		l.mu.Lock()
+		l.account.Progress(l.now(), c.entry)
+		l.mu.Unlock()
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	l := c.listener
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -2,8 +2,9 @@
 // that are not complete or not answered yet.
 //
 // If a bound is reached, the caller that has gone longest without progress loses its connection to the
-// one that needs room, so that a crowd of callers which stop before the end of their requests gives way
-// to others. What is being served is never given up. Part of the bytes is kept for small requests.
+// one that needs room, so that a crowd of callers which stop before the end of their requests, or do not
+// take their answers, gives way to others. What is being served is never given up. Part of the bytes is
+// kept for small requests.
 //
 // The package is pure: time is an argument, and the caller serializes the calls of an Account.
 package intake
@@ -41,8 +42,10 @@
 const (
 	// Receiving is the time until a request is complete, that before its first byte included.
 	Receiving Phase = iota
-	// Serving is the time from there until it is answered.
+	// Serving is the time from there until the first byte of the answer is written.
 	Serving
+	// Answering is the time until the caller has taken the answer.
+	Answering
 	// Idle is the time between two requests.
 	Idle
 )
@@ -51,7 +54,8 @@
 type Conn struct {
 	phase Phase
 	bytes int64
-	// progressAt is when the last byte arrived or the phase changed.
+	// progressAt is when the last byte arrived, the caller last took a part of its answer, or the phase
+	// changed.
 	progressAt time.Duration
 	// index is the position among the connections of the account.
 	index int
@@ -83,7 +87,7 @@
 	if len(a.conns) >= a.limits.Conns {
 		victim = a.stalest(nil, func(c *Conn) bool { return c.phase == Idle })
 		if victim == nil {
-			victim = a.stalest(nil, func(c *Conn) bool { return c.phase == Receiving })
+			victim = a.stalest(nil, (*Conn).waitsForCaller)
 		}
 		if victim == nil {
 			return nil, nil
@@ -110,7 +114,7 @@
 	for a.bytes > a.limits.Bytes || a.large > a.largeLimit() && c.bytes > smallBytes {
 		onlyLarge := a.bytes <= a.limits.Bytes
 		victim := a.stalest(c, func(o *Conn) bool {
-			return o.phase == Receiving && o.bytes > 0 && (!onlyLarge || o.bytes > smallBytes)
+			return o.waitsForCaller() && o.bytes > 0 && (!onlyLarge || o.bytes > smallBytes)
 		})
 		if victim == nil {
 			return victims, false
@@ -134,6 +138,19 @@
 	}
 }
 
+// BeginAnswer reports that a part of an answer is about to be written on a connection.
+func (a *Account) BeginAnswer(now time.Duration, c *Conn) {
+	if c.phase == Serving {
+		a.SetPhase(now, c, Answering)
+	}
+}
+
+// Progress reports that the caller has taken a part of its answer.
+func (a *Account) Progress(now time.Duration, c *Conn) { c.progressAt = now }
+
+// waitsForCaller reports whether a connection waits for its caller to send or to take bytes.
+func (c *Conn) waitsForCaller() bool { return c.phase == Receiving || c.phase == Answering }
+
 // Close removes a connection, if it has not been removed before.
 func (a *Account) Close(c *Conn) {
 	if c.index < 0 {
--- a/internal/intake/account_test.go
+++ b/internal/intake/account_test.go
@@ -79,6 +79,26 @@
 	assert.Equal(t, 3, a.Conns())
 }
 
+// TestUnreadAnswersGiveWay answers the load of callers that take all connections and do not read their
+// answers: the one that has gone longest without taking a part gives way, and what is being served stays.
+func TestUnreadAnswersGiveWay(t *testing.T) {
+	a := NewAccount(Limits{Conns: 3, Bytes: kb})
+	var conns []*Conn
+	for i := range 3 {
+		c, _ := a.Open(time.Duration(i))
+		a.SetPhase(3, c, Serving)
+		conns = append(conns, c)
+	}
+	a.BeginAnswer(4, conns[1])
+	a.BeginAnswer(5, conns[2])
+	a.Progress(6, conns[1])
+	_, victim := a.Open(7)
+	assert.Same(t, conns[2], victim)
+	last, victim := a.Open(8)
+	assert.Same(t, conns[1], victim)
+	a.SetPhase(9, last, Serving)
+}
+
 // TestAccountStaysWithinLimits draws sequences of all events.
 func TestAccountStaysWithinLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -106,7 +126,7 @@
 				}
 			} else {
 				c := open[rapid.IntRange(0, len(open)-1).Draw(t, "conn")]
-				switch rapid.IntRange(0, 3).Draw(t, "event") {
+				switch rapid.IntRange(0, 4).Draw(t, "event") {
 				case 0, 1:
 					victims, ok := a.Grow(now, c, rapid.IntRange(1, 50*kb).Draw(t, "bytes"))
 					for _, v := range victims {
@@ -120,7 +140,10 @@
 						forget(c)
 					}
 				case 2:
-					a.SetPhase(now, c, Phase(rapid.IntRange(0, 2).Draw(t, "phase")))
+					a.SetPhase(now, c, Phase(rapid.IntRange(0, 3).Draw(t, "phase")))
+				case 4:
+					a.BeginAnswer(now, c)
+					a.Progress(now, c)
 				case 3:
 					a.Close(c)
 					forget(c)
