--- a/internal/leafconn/memory.go
+++ b/internal/leafconn/memory.go
@@ -82,24 +82,24 @@
 	if response.ContentLength > maxAnswerBytes {
 		return nil, 0, ErrTooLarge
 	}
-	var read bytes.Buffer
 	for {
-		if read.Available() < bytes.MinRead {
+		if cap(body)-len(body) < bytes.MinRead {
 			// The reservation of a body of unknown length doubles with the buffer.
-			more := max(read.Len(), bytes.MinRead, int(response.ContentLength)+bytes.MinRead-reserved)
+			more := max(len(body), bytes.MinRead, int(response.ContentLength)+bytes.MinRead-reserved)
 			if !c.pool.memory.Reserve(more) {
 				return nil, reserved, ErrTooLarge
 			}
 			reserved += more
-			read.Grow(more)
+			// The capacity is what is reserved; append would add to it.
+			body = append(make([]byte, 0, reserved), body...)
 		}
-		n, err := response.Body.Read(read.AvailableBuffer()[:read.Available()])
-		read.Write(read.AvailableBuffer()[:n])
+		n, err := response.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
 		switch {
-		case read.Len() > maxAnswerBytes:
+		case len(body) > maxAnswerBytes:
 			return nil, reserved, ErrTooLarge
 		case errors.Is(err, io.EOF):
-			return read.Bytes(), reserved, nil
+			return body, reserved, nil
 		case err != nil:
 			return nil, reserved, err
 		}
--- a/internal/leafconn/memory_test.go
+++ b/internal/leafconn/memory_test.go
@@ -100,7 +100,7 @@
 		answer, _, err := c.readAnswer(e)
 		if err == nil {
 			require.GreaterOrEqual(t, answer.Status, http.StatusOK)
-			require.LessOrEqual(t, int64(len(answer.Body)), memory.Used())
+			require.LessOrEqual(t, int64(cap(answer.Body)), memory.Used())
 			answer.Release()
 		}
 		require.Zero(t, memory.Used())
