--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -137,6 +137,19 @@
 	_ = c.Conn.Close()
 }
 
+// RemoveStalled closes the connection of a caller that does not take its answer. It returns false if there
+// is none.
+func (l *Listener) RemoveStalled() bool {
+	l.mu.Lock()
+	var removed *Conn
+	if entry := l.account.RemoveStalled(l.now()); entry != nil {
+		removed = l.take(entry)
+	}
+	l.mu.Unlock()
+	l.remove(removed)
+	return removed != nil
+}
+
 // Usage returns the number of connections and the bytes of their requests.
 func (l *Listener) Usage() (conns int, bytes int64) {
 	l.mu.Lock()
@@ -179,14 +192,14 @@
 func (c *Conn) Write(b []byte) (int, error) {
 	l := c.listener
 	l.mu.Lock()
-	l.account.BeginAnswer(l.now(), c.entry)
+	l.account.BeginAnswer(l.now(), c.entry, len(b))
 	l.mu.Unlock()
 	written := 0
 	for {
 		n, err := c.Conn.Write(b[written:min(written+writeBytes, len(b))])
 		written += n
 		l.mu.Lock()
-		l.account.Progress(l.now(), c.entry)
+		l.account.Progress(l.now(), c.entry, len(b)-written)
 		l.mu.Unlock()
 		if err != nil || written == len(b) {
 			return written, err
--- a/internal/hostile/unread_test.go
+++ b/internal/hostile/unread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -78,3 +79,10 @@
 
 // TestUnreadAnswers has as many callers that read no answer as there are places for connections.
 func TestUnreadAnswers(t *testing.T) { pressWithUnreadAnswers(t, silentCrowd, 32<<10) }
+
+// TestLargeUnreadAnswers has callers that read no answer and whose answers take all the memory for answers.
+func TestLargeUnreadAnswers(t *testing.T) {
+	for _, size := range []int{64 << 10, 1 << 20} {
+		t.Run(fmt.Sprintf("%d KiB", size>>10), func(t *testing.T) { pressWithUnreadAnswers(t, crowd, size) })
+	}
+}
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -25,6 +25,9 @@
 	largeShare = 0.75
 	// fieldBytes is about the memory that a field of a decoded head takes beside its bytes.
 	fieldBytes = 160
+	// stallTime is the time after which a caller that takes nothing of its answer may lose it to others
+	// whose answers lack memory.
+	stallTime = 200 * time.Millisecond
 )
 
 // Limits bound what all callers together hold.
@@ -54,6 +57,8 @@
 type Conn struct {
 	phase Phase
 	bytes int64
+	// answer is the size of the part of an answer that is being written.
+	answer int
 	// progressAt is when the last byte arrived, the caller last took a part of its answer, or the phase
 	// changed.
 	progressAt time.Duration
@@ -138,15 +143,32 @@
 	}
 }
 
-// BeginAnswer reports that a part of an answer is about to be written on a connection.
-func (a *Account) BeginAnswer(now time.Duration, c *Conn) {
+// BeginAnswer reports that n bytes of an answer are about to be written on a connection.
+func (a *Account) BeginAnswer(now time.Duration, c *Conn, n int) {
+	c.answer = n
 	if c.phase == Serving {
 		a.SetPhase(now, c, Answering)
 	}
 }
 
-// Progress reports that the caller has taken a part of its answer.
-func (a *Account) Progress(now time.Duration, c *Conn) { c.progressAt = now }
+// Progress reports that the caller has taken a part of what BeginAnswer reported, and that left bytes of
+// it are still to be written.
+func (a *Account) Progress(now time.Duration, c *Conn, left int) { c.progressAt, c.answer = now, left }
+
+// RemoveStalled removes the connection with the most bytes of an answer to be written, of those whose
+// callers have not taken any for stallTime. The caller must close it. It returns nil if there is none.
+func (a *Account) RemoveStalled(now time.Duration) *Conn {
+	var found *Conn
+	for _, c := range a.conns {
+		if c.phase == Answering && c.answer > 0 && now-c.progressAt >= stallTime && (found == nil || c.answer > found.answer) {
+			found = c
+		}
+	}
+	if found != nil {
+		a.Close(found)
+	}
+	return found
+}
 
 // waitsForCaller reports whether a connection waits for its caller to send or to take bytes.
 func (c *Conn) waitsForCaller() bool { return c.phase == Receiving || c.phase == Answering }
--- a/internal/intake/account_test.go
+++ b/internal/intake/account_test.go
@@ -89,9 +89,9 @@
 		a.SetPhase(3, c, Serving)
 		conns = append(conns, c)
 	}
-	a.BeginAnswer(4, conns[1])
-	a.BeginAnswer(5, conns[2])
-	a.Progress(6, conns[1])
+	a.BeginAnswer(4, conns[1], kb)
+	a.BeginAnswer(5, conns[2], kb)
+	a.Progress(6, conns[1], 0)
 	_, victim := a.Open(7)
 	assert.Same(t, conns[2], victim)
 	last, victim := a.Open(8)
@@ -99,6 +99,25 @@
 	a.SetPhase(9, last, Serving)
 }
 
+// TestLargeUnreadAnswersGiveWay answers the load of callers whose unread answers take all the memory.
+func TestLargeUnreadAnswersGiveWay(t *testing.T) {
+	a := NewAccount(Limits{Conns: 4, Bytes: kb})
+	var conns []*Conn
+	for i := range 4 {
+		c, _ := a.Open(0)
+		a.SetPhase(0, c, Serving)
+		if i > 0 {
+			a.BeginAnswer(0, c, i*kb)
+		}
+		conns = append(conns, c)
+	}
+	assert.Nil(t, a.RemoveStalled(stallTime-1))
+	a.Progress(stallTime-1, conns[3], 2*kb)
+	assert.Same(t, conns[2], a.RemoveStalled(stallTime))
+	assert.Same(t, conns[1], a.RemoveStalled(stallTime))
+	assert.Nil(t, a.RemoveStalled(stallTime), "the others are being served or have made progress")
+}
+
 // TestAccountStaysWithinLimits draws sequences of all events.
 func TestAccountStaysWithinLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -142,8 +161,14 @@
 				case 2:
 					a.SetPhase(now, c, Phase(rapid.IntRange(0, 3).Draw(t, "phase")))
 				case 4:
-					a.BeginAnswer(now, c)
-					a.Progress(now, c)
+					a.BeginAnswer(now, c, kb)
+					a.Progress(now, c, rapid.IntRange(0, kb).Draw(t, "left"))
+					if v := a.RemoveStalled(now + time.Duration(rapid.IntRange(0, int(2*stallTime)).Draw(t, "later"))); v != nil {
+						if v.phase == Serving {
+							t.Fatalf("a request that is being served was given up")
+						}
+						forget(v)
+					}
 				case 3:
 					a.Close(c)
 					forget(c)
--- a/internal/relay/services.go
+++ b/internal/relay/services.go
@@ -94,6 +94,10 @@
 	return s
 }
 
+// SetReclaimAnswers sets the function that makes a caller give up its answer if the answers of leaves take all
+// the memory for them. It returns false if there is no such caller.
+func (s *Services) SetReclaimAnswers(reclaim func() bool) { s.memory.SetReclaim(reclaim) }
+
 func (s *Services) now() time.Duration { return time.Since(s.start) }
 
 func (s *Services) get(service string) *serviceState { return (*s.byName.Load())[service] }
