--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -17,7 +17,7 @@
 const (
 	// connBytes is about the memory that the server takes for one connection.
 	connBytes = 24 << 10
-	// connMemoryRatio and requestMemoryRatio are the fractions of the memory of a process for the
+	// connMemoryRatio and requestMemoryRatio are the fractions of the memory for data for the
 	// connections of callers and for the requests that are received or served. A request takes up to
 	// three times its size, since it is encoded again for a leaf.
 	connMemoryRatio    = 0.2
@@ -39,8 +39,8 @@
 // errRemoved is the error of reading on a connection that was closed in favour of others.
 var errRemoved = errors.New("the connection was closed in favour of others that make progress")
 
-// Limits returns the limits of a process with a memory limit in bytes and a limit of descriptors. Zero
-// means that there is none.
+// Limits returns the limits of a process with memoryBytes of memory for data and a limit of descriptors.
+// Zero means that there is none.
 func Limits(memoryBytes int64, files int) intake.Limits {
 	l := intake.Limits{Conns: defaultConns, Bytes: defaultRequestBytes}
 	if memoryBytes > 0 {
--- a/internal/memlimit/memlimit.go
+++ b/internal/memlimit/memlimit.go
@@ -2,6 +2,7 @@
 package memlimit
 
 import (
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 )
@@ -12,6 +13,28 @@
 // releaseTimeout bounds the time for which Reserve waits until reclaimed bytes are released.
 const releaseTimeout = 100 * time.Millisecond
 
+const (
+	// programBytes is about the resident size of the program itself, its code and its tables.
+	programBytes = 16 << 20
+	// minDataRatio is the least fraction of the memory of a process that is for data.
+	minDataRatio = 0.5
+	// runtimeRatio is the fraction of the memory for data that is set as the limit of the Go runtime.
+	runtimeRatio = 0.8
+)
+
+// DataBytes returns the memory for data in a process that may use total bytes; the rest is for the program
+// itself. It returns zero, which means no limit, for zero.
+func DataBytes(total int64) int64 {
+	return max(total-programBytes, int64(minDataRatio*float64(total)))
+}
+
+// LimitRuntime limits the memory of the Go runtime in a process that may use total bytes.
+func LimitRuntime(total int64) {
+	if total > 0 {
+		debug.SetMemoryLimit(int64(runtimeRatio * float64(DataBytes(total))))
+	}
+}
+
 // Memory counts reserved bytes up to a limit. It is safe for concurrent use.
 type Memory struct {
 	limit int64
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -6,22 +6,19 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 	"github.com/redwingshelf/redwingshelf/internal/settings"
 )
 
-// runtimeMemoryRatio is the fraction of a configured memory limit that is set as the limit of the Go
-// runtime. The rest is for what the runtime does not manage.
-const runtimeMemoryRatio = 0.8
-
-// memoryBytes returns the memory that the process may use, or zero if that is not limited. Without a
-// setting it is the memory limit of the Go runtime.
-func memoryBytes(l settings.Limits) int64 {
+// dataBytes returns the memory for data, or zero if that is not limited, and limits the Go runtime to it.
+// Without a setting it is taken from the limit that the runtime has already.
+func dataBytes(l settings.Limits) int64 {
 	if l.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(runtimeMemoryRatio * float64(l.MemoryBytes)))
-		return int64(l.MemoryBytes)
+		memlimit.LimitRuntime(int64(l.MemoryBytes))
+		return memlimit.DataBytes(int64(l.MemoryBytes))
 	}
 	if limit := debug.SetMemoryLimit(-1); limit < math.MaxInt64 {
-		return limit
+		return memlimit.DataBytes(limit)
 	}
 	return 0
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,7 +120,7 @@
 	n.config = n.newConfigController()
 	n.hosts = n.newHostsController()
 	n.callerServer = n.newCallerServer()
-	n.callerLimits = callerconn.Limits(memoryBytes(s.Limits), maxFiles(s.Limits))
+	n.callerLimits = callerconn.Limits(dataBytes(s.Limits), maxFiles(s.Limits))
 	n.operatorServer = n.newOperatorServer()
 	return n, nil
 }
--- a/internal/relaynode/node.go
+++ b/internal/relaynode/node.go
@@ -25,6 +25,7 @@
 	"github.com/redwingshelf/redwingshelf/internal/fleet"
 	"github.com/redwingshelf/redwingshelf/internal/leafpick"
 	"github.com/redwingshelf/redwingshelf/internal/member"
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 	"github.com/redwingshelf/redwingshelf/internal/peer"
 	"github.com/redwingshelf/redwingshelf/internal/periodic"
 	"github.com/redwingshelf/redwingshelf/internal/relay"
@@ -85,9 +86,8 @@
 // log lines that were not written.
 func New(s Settings, d relay.Dialect, store statesync.Store, logger *zap.Logger, droppedLines func() int64) (*Node, error) {
 	debug.SetGCPercent(s.gcPercent())
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryBytes)))
-	}
+	memlimit.LimitRuntime(s.MemoryBytes)
+	dataBytes := memlimit.DataBytes(s.MemoryBytes)
 	n := &Node{
 		settings:        s,
 		process:         fmt.Sprintf("%s/%08x", s.Name, rand.Uint32()),
@@ -109,7 +109,7 @@
 	}, metricsInterval)
 	n.services = relay.NewServices(relay.ServicesOptions{
 		DataCentre: s.DataCentre, RetryBudgetRatio: s.RetryBudgetRatio, RetryBudgetSlack: s.RetryBudgetSlack, RetryWindow: s.RetryWindow,
-		ColdRatio: s.ColdRatio, ColdSlack: s.ColdSlack, AnswerBytes: int64(answerMemoryRatio * float64(s.MemoryBytes)),
+		ColdRatio: s.ColdRatio, ColdSlack: s.ColdSlack, AnswerBytes: int64(answerMemoryRatio * float64(dataBytes)),
 	}, singleNodeFleet(n.process), n.catalog.View, n.logger)
 	n.quotas = newQuotas(n)
 	log := reqlog.New(n.logger, n.scope, time.Now)
@@ -139,7 +139,7 @@
 	n.sharing.set([]member.Member{n.selfMember()})
 	n.sharing.setMaxGatherers(leafpick.Unbounded)
 	n.idle = newIdleConns(n.idleTimeout)
-	n.callers = callerconn.Listen(n.open.callers, callerconn.Limits(s.MemoryBytes, s.MaxFiles), n.scope.SubScope("callers"))
+	n.callers = callerconn.Listen(n.open.callers, callerconn.Limits(dataBytes, s.MaxFiles), n.scope.SubScope("callers"))
 	n.services.SetReclaimAnswers(n.callers.RemoveStalled)
 	n.callerServer = &http.Server{
 		Handler: callerconn.Handler(n.handler), ConnState: n.trackCaller, ConnContext: withCallerConn,
--- a/internal/relaynode/settings.go
+++ b/internal/relaynode/settings.go
@@ -58,15 +58,12 @@
 const (
 	// defaultStopGracePeriod is used if StopGracePeriod is not positive.
 	defaultStopGracePeriod = 10 * time.Second
-	// memoryLimitRatio is the fraction of MemoryBytes that is set as the memory limit of
-	// the Go runtime.
-	memoryLimitRatio = 0.8
 	// defaultGCPercent is the heap growth at which garbage is collected on hosts with at least
 	// fullGCCores cores; smaller hosts multiply it by up to maxGCFactor.
 	defaultGCPercent = 100
 	fullGCCores      = 0.4
 	maxGCFactor      = 4
-	// answerMemoryRatio is the fraction of MemoryBytes that the bodies of leaves' answers
+	// answerMemoryRatio is the fraction of the memory for data that the bodies of leaves' answers
 	// may take.
 	answerMemoryRatio = 0.25
 	// balancerLagRatio is the fraction of StopGracePeriod for which a stopping node still
