--- a/internal/leafconn/exchange.go
+++ b/internal/leafconn/exchange.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -25,6 +26,9 @@
 	// maxForeignAnswers is the maximum number of answers to other requests that are skipped.
 	// After more, the connection is closed.
 	maxForeignAnswers = 2
+	// maxCopiedBody is the size up to which a body is copied, to be sent together with its head. A larger
+	// one is sent from the memory that all calls of its request share.
+	maxCopiedBody = 16 << 10
 )
 
 // errForeign is the error of an exchange that received only answers to other requests.
@@ -157,7 +161,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { p.discard(c) })
 	defer stop()
-	n, err := c.raw.Write(r.encode())
+	n, err := r.writeTo(c.raw)
 	if err != nil {
 		p.discard(c)
 		if got := <-e.done; got.answer != nil {
@@ -362,10 +366,32 @@
 	}
 }
 
-// encode returns the bytes of the request.
-func (r *Request) encode() []byte {
+// writeTo writes the request, and returns the number of bytes written.
+func (r *Request) writeTo(w io.Writer) (int, error) {
+	head := r.encodeHead()
+	if r.copiedBytes() > 0 {
+		return w.Write(append(head, r.Body...))
+	}
+	n, err := w.Write(head)
+	if err != nil || len(r.Body) == 0 {
+		return n, err
+	}
+	m, err := w.Write(r.Body)
+	return n + m, err
+}
+
+// copiedBytes returns the size of the body if it is copied, or else zero.
+func (r *Request) copiedBytes() int {
+	if len(r.Body) > maxCopiedBody {
+		return 0
+	}
+	return len(r.Body)
+}
+
+// encodeHead returns the head of the request, with room for a body that is copied.
+func (r *Request) encodeHead() []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512 + r.copiedBytes())
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header() {
 		for _, value := range values {
@@ -376,6 +402,5 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
