--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -19,7 +19,7 @@
 	connBytes = 24 << 10
 	// connMemoryRatio and requestMemoryRatio are the fractions of the memory for data for the
 	// connections of callers and for the requests that are received or served. A request takes up to
-	// three times its size, since it is encoded again for a leaf.
+	// twice its size, while the buffer of its body grows.
 	connMemoryRatio    = 0.2
 	requestMemoryRatio = 0.1
 	// reservedFiles are not available for sockets, and callerFilesRatio is the fraction of the others
--- a/internal/hostile/gather_test.go
+++ b/internal/hostile/gather_test.go
@@ -74,3 +74,17 @@
 		c.wait()
 	}, func() int { return n.ordinaryRequest("b") })
 }
+
+// TestSmallGathers has callers send small requests that go to many shards, whose leaves do not answer.
+func TestSmallGathers(t *testing.T) {
+	n := startRelay(t, relayLimits{memoryMB: memoryMB, files: 1800, bodyBytes: bodyBytes}, withSilentShards(t, 100))
+	require.Equal(t, http.StatusOK, n.ordinaryRequest("b"))
+	c := new(callers)
+	defer c.close()
+	n.underPressure(func() {
+		c.open(n.front, silentCrowd, func(w io.Writer, _ bool) {
+			_, _ = io.WriteString(w, headTo("GET", searchHost, "\r\n"))
+		})
+		c.wait()
+	}, func() int { return n.ordinaryRequest("b") })
+}
--- a/internal/memlimit/memlimit_test.go
+++ b/internal/memlimit/memlimit_test.go
@@ -27,3 +27,15 @@
 	require.Equal(t, int64(20), m.Used())
 	require.False(t, m.Reserve(90))
 }
+
+func TestSmallReservationsKeepTheirPart(t *testing.T) {
+	d := NewDivided(100 * largeBytes)
+	for range 3 {
+		require.True(t, d.Reserve(25*largeBytes))
+	}
+	require.False(t, d.Reserve(2*largeBytes))
+	require.True(t, d.Reserve(largeBytes))
+	d.Release(25 * largeBytes)
+	require.True(t, d.Reserve(2*largeBytes))
+	require.Equal(t, int64(53*largeBytes), d.Used())
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -128,6 +128,7 @@
 	c.arrivals++
 	c.inFlight++
 	c.lastSent = a.startedAt
+	q.reserved.hold()
 	go q.exchange(ctx, a, pool)
 	return true
 }
@@ -135,6 +136,7 @@
 // exchange runs one attempt and sends it to the results. Unless it is cancelled, it continues
 // after the query has ended, so that the connection can be reused.
 func (q *query) exchange(ctx context.Context, a *attempt, p *leafPool) {
+	defer q.reserved.release()
 	defer a.cancel()
 	r := q.request
 	var sendRecord *quarantine.SentContent
@@ -199,6 +201,9 @@
 	for _, answer := range q.held {
 		answer.Release()
 	}
+	if q.reserved != nil {
+		q.reserved.release()
+	}
 }
 
 // recordOutcome records what the outcome of an attempt shows about its content. It is also called
--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -180,6 +180,9 @@
 	q := newQuery(h, r)
 	defer q.release()
 	q.partialDeadline = r.received.Add(c.Within)
+	if err := q.reserve(); err != nil {
+		return declined(kind.Errorf(kind.Unavailable, "%w", err))
+	}
 	err = q.run(ctx)
 	h.returnUnusedTrial(q, err)
 	h.metrics.record(q, err, time.Since(r.received))
--- a/internal/relay/divide.go
+++ b/internal/relay/divide.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/redwingshelf/redwingshelf/internal/kind"
 )
 
 // lackingTTL is how long a peer's number of lacking shards is taken into account.
@@ -196,6 +198,9 @@
 	q := newPartQuery(h, r, c.Shards)
 	defer q.release()
 	q.partialDeadline = r.received.Add(c.Within)
+	if err := q.reserve(); err != nil {
+		return send(declined(kind.Errorf(kind.Unavailable, "%w", err)))
+	}
 	err = q.runPart(ctx, send)
 	h.metrics.record(q, err, time.Since(r.received))
 	return err
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -19,6 +19,7 @@
 	"github.com/redwingshelf/redwingshelf/internal/dispatch"
 	"github.com/redwingshelf/redwingshelf/internal/intake"
 	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 	"github.com/redwingshelf/redwingshelf/internal/quarantine"
 	"github.com/redwingshelf/redwingshelf/internal/reqlog"
 )
@@ -63,6 +64,9 @@
 	Access AccessOptions
 	// Quotas grants credits to requests of limited tenants; nil grants all.
 	Quotas Quotas
+	// CallBytes bounds the memory for calls to leaves and for the requests that they carry; zero means
+	// memlimit.Default.
+	CallBytes int64
 	// SyncingCrashes reports whether the node still waits for the crash records of its peers.
 	SyncingCrashes func() bool
 }
@@ -78,6 +82,8 @@
 	metrics  *metrics
 	helpers  helpers
 	crashes  *quarantine.Crashes
+	// callMemory is the memory for the calls in progress and their requests.
+	callMemory *memlimit.Divided
 	// stopping is nil until a planned stop, whose begin closes stopBegun.
 	stopping  atomic.Pointer[dispatch.StopSchedule]
 	stopBegun chan struct{}
@@ -98,7 +104,7 @@
 func NewHandler(o HandlerOptions, d Dialect, c *catalog.Catalog, s *Services, g GatherClient, log *reqlog.Log, scope tally.Scope) *Handler {
 	h := &Handler{
 		options: o, dialect: d, catalog: c, services: s, routes: newRouteStates(), log: log,
-		metrics: newMetrics(scope), helpers: newHelpers(g), stopBegun: make(chan struct{}),
+		metrics: newMetrics(scope), helpers: newHelpers(g), callMemory: memlimit.NewDivided(o.CallBytes), stopBegun: make(chan struct{}),
 		crashes: quarantine.NewCrashes(quarantine.CrashOptions{TTL: crashRecordTTL, MaxRecords: maxCrashRecords, IDBase: rand.Uint64()}),
 	}
 	h.delegation, h.endDelegation = context.WithCancelCause(context.Background())
@@ -159,7 +165,9 @@
 		}
 		return q, h.writeGathered(w, q, answer)
 	}
-	err = q.run(r.Context())
+	if err = q.reserve(); err == nil {
+		err = q.run(r.Context())
+	}
 	h.returnUnusedTrial(q, err)
 	if err != nil {
 		h.writeError(w, request, q, err)
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -64,6 +64,8 @@
 	partialDeadline time.Time
 	// coveredAt is when enough parts for an answer had arrived.
 	coveredAt time.Time
+	// reserved is the memory for the calls; nil until run.
+	reserved *reservation
 	// mu guards the fields below, which the goroutines of attempts use.
 	mu sync.Mutex
 	// held are the answers whose bodies take up memory, and released is set once none of
--- a/internal/relaynode/node.go
+++ b/internal/relaynode/node.go
@@ -118,6 +118,7 @@
 		CallerMargin: callerMargin, NonIdempotentMaxIdle: nonIdempotentMaxIdle, PublishCrashes: n.publishCrashes, RequestTrial: n.requestTrial,
 		SyncingCrashes: func() bool { return !n.crashesSynced.Load() },
 		Quotas:         n.quotas,
+		CallBytes:      int64(callMemoryRatio * float64(dataBytes)),
 		Access: relay.AccessOptions{
 			MaxAge:        time.Duration(maxKnowledgeRatio * float64(s.MaxRevocationDelay)),
 			MaxUnknownAge: s.MaxApplyDelay,
--- a/internal/relaynode/settings.go
+++ b/internal/relaynode/settings.go
@@ -66,6 +66,9 @@
 	// answerMemoryRatio is the fraction of the memory for data that the bodies of leaves' answers
 	// may take.
 	answerMemoryRatio = 0.25
+	// callMemoryRatio is the fraction of the memory for data that calls to leaves and the requests that
+	// they carry may take.
+	callMemoryRatio = 0.1
 	// balancerLagRatio is the fraction of StopGracePeriod for which a stopping node still
 	// accepts new requests, since the balancer takes time to notice that it is not ready.
 	balancerLagRatio = 0.52
