--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -106,7 +106,8 @@
 
 // Grow adds n bytes to the request that is being received on a connection. If that is too much, it
 // removes other connections, which the caller must close. It reports false if that gives too little
-// room; the request must then be refused.
+// room; the request must then be refused. What arrives while a request is served or answered is not
+// counted, since to refuse it would end the request; the server reads no more than a byte then.
 func (a *Account) Grow(now time.Duration, c *Conn, n int) (victims []*Conn, ok bool) {
 	if c.index < 0 {
 		return nil, false
@@ -114,6 +115,9 @@
 	if c.phase == Idle {
 		c.phase = Receiving
 	}
+	if c.phase != Receiving {
+		return nil, true
+	}
 	a.set(c, c.bytes+int64(n))
 	c.progressAt = now
 	for a.bytes > a.limits.Bytes || a.large > a.largeLimit() && c.bytes > smallBytes {
