--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -36,6 +37,9 @@
 	minRequestBytes = 1 << 20
 )
 
+// refusal is the answer to a request for whose head there is no room.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
 // errRemoved is the error of reading on a connection that was closed in favour of others.
 var errRemoved = errors.New("the connection was closed in favour of others that make progress")
 
@@ -170,6 +174,7 @@
 		size = intake.HeadSize(b[:n])
 	}
 	victims, ok := l.account.Grow(l.now(), c.entry, size)
+	inHead := !c.headRead
 	_, present := l.byAccount[c.entry]
 	var removed []*Conn
 	for _, v := range victims {
@@ -182,6 +187,10 @@
 	switch {
 	case !present:
 		return 0, errRemoved
+	case !ok && inHead:
+		// The server would answer any other error than one of the network with status 400.
+		_, _ = io.WriteString(c.Conn, refusal)
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: intake.ErrNoRoom}
 	case !ok:
 		return 0, intake.ErrNoRoom
 	}
--- a/internal/callerconn/listener_test.go
+++ b/internal/callerconn/listener_test.go
@@ -65,6 +65,17 @@
 	return response.StatusCode
 }
 
+func TestHeadWithoutRoomIsRefusedTruly(t *testing.T) {
+	address, serving, answer := startServer(t)
+	first := takeRoom(t, address, serving)
+	second := dial(t, address)
+	_, err := io.WriteString(second, "GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 2000)+"\r\n\r\n")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, readStatus(t, second))
+	answer <- struct{}{}
+	require.Equal(t, http.StatusOK, readStatus(t, first))
+}
+
 func TestBytesAfterARequestDoNotEndIt(t *testing.T) {
 	address, serving, answer := startServer(t)
 	first := takeRoom(t, address, serving)
