--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -30,7 +30,7 @@
 func newTestHTTP(t *testing.T, router Router) *HTTP {
 	t.Helper()
 	last := func(context.Context, *Request) (*Answer, error) { return &Answer{Result: &coverage.Result{}}, nil }
-	tickets := NewTickets(once.Process{Host: "tema-0", Incarnation: 1}, nil)
+	tickets := NewTickets(once.Process{Host: "tema-0", Incarnation: 1}, nil, once.DefaultOptions())
 	handler := Chain(last, Identify(router), Deadline(), AtMostOnce(tickets))
 	return NewHTTP(handler, tickets.Issue, 64)
 }
--- a/internal/entry/promise_test.go
+++ b/internal/entry/promise_test.go
@@ -27,7 +27,7 @@
 // becoming a promise that the process of the ticket has not given.
 func TestForwardedRequestPromisesWhatItsHomeSays(t *testing.T) {
 	for run, want := range map[string]kind.Run{"no": kind.RunNo, "yes": kind.RunYes, "unknown": kind.RunUnknown, "": kind.RunUnknown, "maybe": kind.RunUnknown} {
-		tickets := NewTickets(once.Process{Host: "tema-1", Incarnation: 1}, fakeForwarder{Kind: kind.Overloaded.String(), Run: run})
+		tickets := NewTickets(once.Process{Host: "tema-1", Incarnation: 1}, fakeForwarder{Kind: kind.Overloaded.String(), Run: run}, once.DefaultOptions())
 		other := once.NewTable(once.Process{Host: "tema-2", Incarnation: 7}, once.DefaultOptions())
 		ticket, err := other.Issue(0, 3)
 		require.NoError(t, err)
--- a/internal/entry/tickets.go
+++ b/internal/entry/tickets.go
@@ -30,11 +30,11 @@
 	directory *once.Directory
 }
 
-// NewTickets returns the tickets of the process self.
-func NewTickets(self once.Process, forwarder Forwarder) *Tickets {
+// NewTickets returns the tickets of the process self, within the bounds of options.
+func NewTickets(self once.Process, forwarder Forwarder, options once.Options) *Tickets {
 	return &Tickets{
 		self:      self,
-		table:     once.NewTable(self, once.DefaultOptions()),
+		table:     once.NewTable(self, options),
 		forwarder: forwarder,
 		start:     time.Now(),
 		directory: once.NewDirectory(),
--- a/internal/entry/tickets_test.go
+++ b/internal/entry/tickets_test.go
@@ -21,7 +21,7 @@
 }
 
 func TestRefusedResendMayHaveRun(t *testing.T) {
-	tickets := NewTickets(once.Process{Host: "tema-1", Incarnation: 1}, unreachableForwarder{})
+	tickets := NewTickets(once.Process{Host: "tema-1", Incarnation: 1}, unreachableForwarder{}, once.DefaultOptions())
 	ticket, err := tickets.Issue()
 	require.NoError(t, err)
 	runs := 0
@@ -56,7 +56,7 @@
 }
 
 func TestUnreachableTicketMayHaveRun(t *testing.T) {
-	tickets := NewTickets(once.Process{Host: "tema-1", Incarnation: 1}, unreachableForwarder{})
+	tickets := NewTickets(once.Process{Host: "tema-1", Incarnation: 1}, unreachableForwarder{}, once.DefaultOptions())
 	other := once.NewTable(once.Process{Host: "tema-2", Incarnation: 7}, once.DefaultOptions())
 	ticket, err := other.Issue(0, 3)
 	require.NoError(t, err)
--- a/internal/hostile/own_test.go
+++ b/internal/hostile/own_test.go
@@ -29,13 +29,13 @@
 	http, ops, peers string
 }
 
-// startOwn starts a node of the product's own interface in front of leaves with one shard each. The
+// startOwn starts a node of the product's own interface in front of leaves, which hold a number of documents in three shards. The
 // memory limit and the limit of descriptors are those of the process.
-func startOwn(t *testing.T, leaves int) *ownNode {
+func startOwn(t *testing.T, leaves, documents int) *ownNode {
 	platform, err := standin.NewPlatform()
 	require.NoError(t, err)
 	t.Cleanup(platform.Close)
-	doc, targets := startOwnLeaves(t, leaves)
+	doc, targets := startOwnLeaves(t, leaves, documents)
 	data, err := document.Encode(doc)
 	require.NoError(t, err)
 	platform.SetDocument(doc.Revision, data)
@@ -65,10 +65,10 @@
 	return n
 }
 
-func startOwnLeaves(t *testing.T, leaves int) (*document.Document, map[string]string) {
+func startOwnLeaves(t *testing.T, leaves, documents int) (*document.Document, map[string]string) {
 	instance := document.Instance{Name: "i", DataCentre: "d"}
 	targets := map[string]string{}
-	snapshot := standin.NewSnapshot("1-first", 90, 3)
+	snapshot := standin.NewSnapshot("1-first", documents, 3)
 	for i := range leaves {
 		name := fmt.Sprintf("i-%d", i)
 		leaf, err := standin.NewLeaf(standin.LeafOptions{
@@ -137,7 +137,7 @@
 func TestCrowdsAtOwnInterface(t *testing.T) {
 	for _, attack := range attacks {
 		t.Run(attack.name, func(t *testing.T) {
-			n := startOwn(t, 3)
+			n := startOwn(t, 3, 90)
 			require.Equal(t, http.StatusOK, n.ordinaryRequest())
 			c := new(callers)
 			defer c.close()
@@ -158,7 +158,7 @@
 			continue
 		}
 		t.Run(attack.name, func(t *testing.T) {
-			n := startOwn(t, 3)
+			n := startOwn(t, 3, 90)
 			require.Equal(t, http.StatusOK, n.ordinaryRequest())
 			c := new(callers)
 			defer c.close()
@@ -169,3 +169,18 @@
 		})
 	}
 }
+
+// TestTicketsWithoutEnd has callers ask for tickets that they do not use.
+func TestTicketsWithoutEnd(t *testing.T) {
+	n := startOwn(t, 3, 90)
+	require.Equal(t, http.StatusOK, n.ordinaryRequest())
+	c := new(callers)
+	defer c.close()
+	n.underPressure(func() {
+		c.open(n.http, crowd, func(w io.Writer, _ bool) {
+			_, _ = io.WriteString(w, strings.Repeat("POST /v1/tickets HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", 1000))
+		})
+		c.wait()
+		time.Sleep(5 * time.Second)
+	}, n.ordinaryRequest)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,6 +103,7 @@
 		failed:      make(chan error, 1),
 	}
 	n.scope, n.metrics, n.closer = newScope(s)
+	data := dataBytes(s.Limits)
 	hello := wire.Hello{Host: s.Name, Incarnation: n.incarnation}
 	traffic := peer.NewTraffic(n.scope.SubScope("peer"))
 	n.pool = peer.NewPool(hello, traffic, &dialObserver{node: n})
@@ -115,12 +116,12 @@
 	n.screen = n.newScreen()
 	n.holder = holder.New(n.permits, n.screen, n.targets, reqlog.New(n.logger, n.scope, time.Now), n.scope)
 	n.self = n.newProcess()
-	n.tickets = entry.NewTickets(n.self, &holders{node: n})
+	n.tickets = entry.NewTickets(n.self, &holders{node: n}, once.OptionsFor(data))
 	n.peerServer = peer.NewServer(open.peer, hello, traffic, &peerHandler{node: n})
 	n.config = n.newConfigController()
 	n.hosts = n.newHostsController()
 	n.callerServer = n.newCallerServer()
-	n.callerLimits = callerconn.Limits(dataBytes(s.Limits), maxFiles(s.Limits))
+	n.callerLimits = callerconn.Limits(data, maxFiles(s.Limits))
 	n.operatorServer = n.newOperatorServer()
 	return n, nil
 }
--- a/internal/once/table.go
+++ b/internal/once/table.go
@@ -64,6 +64,25 @@
 	}
 }
 
+const (
+	// ticketBytes is about the memory that a ticket takes without its answer.
+	ticketBytes = 512
+	// ticketRatio and bodyRatio are the fractions of the memory for data of a process that tickets and
+	// the answers kept for them may take.
+	ticketRatio = 0.05
+	bodyRatio   = 0.05
+)
+
+// OptionsFor returns the bounds for a host with an amount of memory for data; zero means no limit.
+func OptionsFor(memoryBytes int64) Options {
+	o := DefaultOptions()
+	if memoryBytes > 0 {
+		o.MaxTickets = min(o.MaxTickets, int(ticketRatio*float64(memoryBytes)/ticketBytes))
+		o.MaxTotalBodyBytes = min(o.MaxTotalBodyBytes, int(bodyRatio*float64(memoryBytes)))
+	}
+	return o
+}
+
 // tableShards is the number of shards of a Table, each of which has its own lock.
 const tableShards = 16
 
