--- a/internal/hostile/own_test.go
+++ b/internal/hostile/own_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/redwingshelf/redwingshelf/internal/document"
@@ -182,5 +183,9 @@
 		})
 		c.wait()
 		time.Sleep(5 * time.Second)
+		response, err := http.Post("http://"+n.http+"/v1/tickets", "", nil)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		assert.Equal(t, http.StatusCreated, response.StatusCode, "an ordinary ticket while the others are unused")
 	}, n.ordinaryRequest)
 }
--- a/internal/once/shard.go
+++ b/internal/once/shard.go
@@ -35,8 +35,7 @@
 	expires time.Duration
 }
 
-// add stores a new entry. It returns false if the shard is full and has no
-// outcome to evict.
+// add stores a new entry. It returns false if the shard is full of running requests.
 func (s *tableShard) add(e *entry) bool {
 	if len(s.entries) >= s.maxEntries && !s.evict() {
 		return false
@@ -88,14 +87,18 @@
 	return true
 }
 
-// evict removes the oldest outcome. To a later resend its ticket is unknown.
-func (s *tableShard) evict() bool {
+// evict removes the oldest outcome, or else the oldest unused ticket. To a later request its ticket is
+// unknown.
+func (s *tableShard) evict() bool { return s.evictFirst(&s.doneQueue) || s.evictFirst(&s.unusedQueue) }
+
+// evictFirst removes the first entry of q that has not changed since it was queued.
+func (s *tableShard) evictFirst(q *expiryQueue) bool {
 	for {
-		item, ok := s.doneQueue.first()
+		item, ok := q.first()
 		if !ok {
 			return false
 		}
-		s.doneQueue.pop()
+		q.pop()
 		if s.unchanged(item) {
 			s.remove(item.entry)
 			return true
--- a/internal/once/table.go
+++ b/internal/once/table.go
@@ -45,7 +45,7 @@
 	// OutcomeLifetime is how long an outcome is kept for resends.
 	OutcomeLifetime time.Duration
 	// MaxTickets is the greatest number of tickets that are kept. Beyond it the
-	// oldest outcomes are evicted first.
+	// oldest outcomes are evicted first, then the oldest unused tickets.
 	MaxTickets int
 	// MaxBodyBytes is the greatest size of an answer that is kept.
 	MaxBodyBytes int
@@ -108,7 +108,7 @@
 }
 
 // Issue returns a new ticket. It fails with kind.Stopping after Stop and with
-// kind.Overloaded when too many tickets are unused or running.
+// kind.Overloaded when too many requests are running.
 func (t *Table) Issue(now time.Duration, random uint64) (Ticket, error) {
 	if t.handoverState.stopping.Load() {
 		return Ticket{}, kind.Errorf(kind.Stopping, "host %q is stopping and issues no tickets", t.self.Host)
