--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -15,12 +15,17 @@
 	"github.com/redwingshelf/redwingshelf/internal/coverage"
 	"github.com/redwingshelf/redwingshelf/internal/intake"
 	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 )
 
 const (
 	defaultLimit = 20
 	maxLimit     = 10000
 	maxIDLength  = 128
+	// hitBytes is about the memory that a hit of a search takes until its answer has been written.
+	hitBytes = 256
+	// MinHitsBytes is the memory for the hits of a search with the highest limit.
+	MinHitsBytes = maxLimit * hitBytes
 )
 
 // HTTP serves callers over HTTP, as described in docs/API.md.
@@ -28,13 +33,16 @@
 	handler Handler
 	tickets func() (string, error)
 	maxBody int64
-	mux     *http.ServeMux
+	// hits bounds the memory for the hits of searches in progress.
+	hits *memlimit.Memory
+	mux  *http.ServeMux
 }
 
 // NewHTTP returns the callers' HTTP interface. tickets issues a ticket for a
-// request that is not idempotent; maxBody bounds a request body in bytes.
-func NewHTTP(handler Handler, tickets func() (string, error), maxBody int64) *HTTP {
-	h := &HTTP{handler: handler, tickets: tickets, maxBody: maxBody, mux: http.NewServeMux()}
+// request that is not idempotent; maxBody bounds a request body in bytes, and hits the
+// memory for the hits of searches in progress.
+func NewHTTP(handler Handler, tickets func() (string, error), maxBody int64, hits *memlimit.Memory) *HTTP {
+	h := &HTTP{handler: handler, tickets: tickets, maxBody: maxBody, hits: hits, mux: http.NewServeMux()}
 	const service = "/v1/customers/{customer}/services/{service}"
 	h.mux.HandleFunc("POST "+service+"/search", h.search)
 	h.mux.HandleFunc("POST "+service+"/requests", h.request)
@@ -72,6 +80,14 @@
 		return
 	}
 	w.Header().Set(HeaderRequestID, request.ID)
+	if idempotent {
+		size := request.Limit * hitBytes
+		if !h.hits.Reserve(size) {
+			writeError(w, request.ID, kind.Errorf(kind.Overloaded, "no memory for a search with %d hits", request.Limit))
+			return
+		}
+		defer h.hits.Release(size)
+	}
 	answer, err := h.handler(r.Context(), request)
 	if err != nil {
 		writeError(w, request.ID, err)
--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -14,6 +14,7 @@
 	"github.com/redwingshelf/redwingshelf/internal/coverage"
 	"github.com/redwingshelf/redwingshelf/internal/document"
 	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 	"github.com/redwingshelf/redwingshelf/internal/once"
 )
 
@@ -32,7 +33,7 @@
 	last := func(context.Context, *Request) (*Answer, error) { return &Answer{Result: &coverage.Result{}}, nil }
 	tickets := NewTickets(once.Process{Host: "tema-0", Incarnation: 1}, nil, once.DefaultOptions())
 	handler := Chain(last, Identify(router), Deadline(), AtMostOnce(tickets))
-	return NewHTTP(handler, tickets.Issue, 64)
+	return NewHTTP(handler, tickets.Issue, 64, memlimit.New(0))
 }
 
 func TestCallersHTTP(t *testing.T) {
--- a/internal/hostile/own_test.go
+++ b/internal/hostile/own_test.go
@@ -189,3 +189,18 @@
 		assert.Equal(t, http.StatusCreated, response.StatusCode, "an ordinary ticket while the others are unused")
 	}, n.ordinaryRequest)
 }
+
+// TestUnreadAnswersAtOwnInterface has callers send many searches with large answers and read none of them.
+func TestUnreadAnswersAtOwnInterface(t *testing.T) {
+	n := startOwn(t, 3, 9000)
+	require.Equal(t, http.StatusOK, n.ordinaryRequest())
+	const body = `{"text":"entry"}`
+	request := fmt.Sprintf("POST %s?limit=10000 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", ownPath, len(body), body)
+	c := new(callers)
+	defer c.close()
+	n.underPressure(func() {
+		c.open(n.http, crowd, func(w io.Writer, _ bool) { _, _ = io.WriteString(w, strings.Repeat(request, 100)) })
+		c.wait()
+		time.Sleep(5 * time.Second)
+	}, n.ordinaryRequest)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,7 +24,7 @@
 	"github.com/redwingshelf/redwingshelf/internal/fleet"
 	"github.com/redwingshelf/redwingshelf/internal/holder"
 	"github.com/redwingshelf/redwingshelf/internal/hostlist"
-	"github.com/redwingshelf/redwingshelf/internal/intake"
+	"github.com/redwingshelf/redwingshelf/internal/memlimit"
 	"github.com/redwingshelf/redwingshelf/internal/once"
 	"github.com/redwingshelf/redwingshelf/internal/peer"
 	"github.com/redwingshelf/redwingshelf/internal/permit"
@@ -58,7 +58,7 @@
 	pool             *peer.Pool
 	peerServer       *peer.Server
 	callerServer     *http.Server
-	callerLimits     intake.Limits
+	callers          *callerconn.Listener
 	operatorServer   *http.Server
 	self             once.Process
 	tickets          *entry.Tickets
@@ -91,19 +91,19 @@
 	if err != nil {
 		return nil, err
 	}
+	data := dataBytes(s.Limits)
 	n := &Node{
 		settings:    s,
 		logger:      logger.With(zap.String("host", s.Name)),
 		incarnation: uint64(time.Now().UnixNano()),
 		listeners:   *open,
 		table:       routing.New(s.Name),
-		targets:     newTargetAddresses(s.Targets),
+		targets:     newTargetAddresses(s.Targets, data),
 		configReady: make(chan struct{}),
 		hostsReady:  make(chan struct{}),
 		failed:      make(chan error, 1),
 	}
 	n.scope, n.metrics, n.closer = newScope(s)
-	data := dataBytes(s.Limits)
 	hello := wire.Hello{Host: s.Name, Incarnation: n.incarnation}
 	traffic := peer.NewTraffic(n.scope.SubScope("peer"))
 	n.pool = peer.NewPool(hello, traffic, &dialObserver{node: n})
@@ -120,8 +120,8 @@
 	n.peerServer = peer.NewServer(open.peer, hello, traffic, &peerHandler{node: n})
 	n.config = n.newConfigController()
 	n.hosts = n.newHostsController()
-	n.callerServer = n.newCallerServer()
-	n.callerLimits = callerconn.Limits(data, maxFiles(s.Limits))
+	n.callers = callerconn.Listen(open.http, callerconn.Limits(data, maxFiles(s.Limits)), n.scope.SubScope("callers"))
+	n.callerServer = n.newCallerServer(data)
 	n.operatorServer = n.newOperatorServer()
 	return n, nil
 }
@@ -159,8 +159,7 @@
 	defer cancel()
 	group, groupCtx := errgroup.WithContext(runCtx)
 	group.Go(n.peerServer.Serve)
-	callers := callerconn.Listen(n.listeners.http, n.callerLimits, n.scope.SubScope("callers"))
-	group.Go(func() error { return serve(n.callerServer, callers) })
+	group.Go(func() error { return serve(n.callerServer, n.callers) })
 	group.Go(func() error {
 		return serve(n.operatorServer, callerconn.ListenForOperators(n.listeners.ops, n.scope.SubScope("operators")))
 	})
@@ -224,7 +223,9 @@
 	return err
 }
 
-func (n *Node) newCallerServer() *http.Server {
+func (n *Node) newCallerServer(dataBytes int64) *http.Server {
+	hits := memlimit.New(hitsBytes(dataBytes))
+	hits.SetReclaim(n.callers.RemoveStalled)
 	holders := &holders{node: n}
 	searcher := entry.NewSearcher(n.table, holders, n.screen, n.scope.SubScope("entry"))
 	submitter := entry.NewSubmitter(n.table, holders, n.screen)
@@ -249,7 +250,7 @@
 	}, entry.ReportUndecidedAsUnknown(), entry.Identify(n.table), entry.Deadline())
 	limits := n.settings.Limits
 	return &http.Server{
-		Handler:           callerconn.Handler(entry.NewHTTP(handler, n.tickets.Issue, int64(limits.MaxBodyBytes))),
+		Handler:           callerconn.Handler(entry.NewHTTP(handler, n.tickets.Issue, int64(limits.MaxBodyBytes), hits)),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadTimeout:       limits.ReadTimeout(),
 		ReadHeaderTimeout: limits.ReadTimeout(),
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -21,8 +21,12 @@
 	blobHosts  = "hosts"
 )
 
-// answerMemory bounds the answers of leaves that a host receives at the same time, in bytes.
-const answerMemory = 64 << 20
+const (
+	// leafAnswerBytes bounds the answers of leaves that a host receives at the same time, and
+	// leafAnswerRatio is the fraction of the memory for data that they may take.
+	leafAnswerBytes = 64 << 20
+	leafAnswerRatio = 0.25
+)
 
 // targetAddresses maps leaves and instances to base URLs. Addresses in the
 // settings take precedence over those in the host list.
@@ -35,8 +39,12 @@
 	fromHostList map[string]string
 }
 
-func newTargetAddresses(fromSettings map[string]string) *targetAddresses {
-	return &targetAddresses{fromSettings: maps.Clone(fromSettings), answers: memlimit.New(answerMemory)}
+func newTargetAddresses(fromSettings map[string]string, dataBytes int64) *targetAddresses {
+	limit := int64(leafAnswerBytes)
+	if dataBytes > 0 {
+		limit = min(limit, int64(leafAnswerRatio*float64(dataBytes)))
+	}
+	return &targetAddresses{fromSettings: maps.Clone(fromSettings), answers: memlimit.New(limit)}
 }
 
 func (t *targetAddresses) set(fromHostList map[string]string) {
