--- a/internal/hostile/process_test.go
+++ b/internal/hostile/process_test.go
@@ -109,6 +109,28 @@
 	return 0
 }
 
+// queuedMB returns the bytes that the system holds for the sockets at an address: those that the process has
+// not read and those that its callers have not acknowledged.
+func queuedMB(t *testing.T, address string) int {
+	data, err := os.ReadFile("/proc/net/tcp")
+	require.NoError(t, err)
+	port, err := strconv.Atoi(portOf(address))
+	require.NoError(t, err)
+	local, total := fmt.Sprintf("0100007F:%04X", port), int64(0)
+	for line := range strings.Lines(string(data)) {
+		fields := strings.Fields(line)
+		if len(fields) < 5 || fields[1] != local {
+			continue
+		}
+		for queue := range strings.SplitSeq(fields[4], ":") {
+			bytes, err := strconv.ParseInt(queue, 16, 64)
+			require.NoError(t, err)
+			total += bytes
+		}
+	}
+	return int(total >> 20)
+}
+
 func (p *process) openFiles() int {
 	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
 	if err != nil {
--- a/internal/hostile/unread_test.go
+++ b/internal/hostile/unread_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/redwingshelf/redwingshelf/platform/platformtest"
@@ -61,6 +62,9 @@
 			})
 		}
 		c.wait()
+		queued := queuedMB(t, n.front)
+		t.Logf("%d MB in the sockets", queued)
+		assert.Less(t, queued, memoryMB, "memory of the sockets in MB")
 	}, func() int { return n.ordinaryRequest("b") })
 }
 
