--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -42,6 +42,9 @@
 	minRequestBytes = 1 << 20
 )
 
+// refusalTimeout bounds the time to write a refusal.
+const refusalTimeout = 100 * time.Millisecond
+
 // refusal is the answer to a request for whose head there is no room.
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
@@ -213,6 +216,7 @@
 		return 0, errRemoved
 	case !ok && inHead:
 		// The server would answer any other error than one of the network with status 400.
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
 		_, _ = io.WriteString(c.Conn, refusal)
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: intake.ErrNoRoom}
 	case !ok:
--- a/internal/relay/callmemory.go
+++ b/internal/relay/callmemory.go
@@ -18,9 +18,10 @@
 	holders atomic.Int32
 }
 
-// reserve takes the memory for the calls of the query. It returns an error if there is too little.
+// reserve takes the memory for the calls of the query and for the messages to peers that gather parts. It
+// returns an error if there is too little.
 func (q *query) reserve() error {
-	bytes := len(q.calls)*callBytes + q.request.size()
+	bytes := len(q.calls)*callBytes + (1+len(q.parts))*q.request.size()
 	if !q.handler.callMemory.Reserve(bytes) {
 		return kind.Errorf(kind.Overloaded, "no memory for %d calls of a request of %d bytes", len(q.calls), q.request.size())
 	}
@@ -29,6 +30,9 @@
 	return nil
 }
 
+// CallBytes returns the memory that calls in progress and their requests take.
+func (h *Handler) CallBytes() int64 { return h.callMemory.Used() }
+
 func (r *reservation) hold() { r.holders.Add(1) }
 
 func (r *reservation) release() {
--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -84,11 +84,16 @@
 }
 
 // delegate has a peer gather the answer to a request. It returns nil if the peer has refused
-// without calling a leaf, so that this node must gather it. Once the peer may have sent the request
+// without calling a leaf, or if there is no memory for the message, so that this node must gather it. Once the peer may have sent the request
 // to leaves, only its answer counts, since both nodes together could exceed the route's maximum of
 // attempts.
 func (h *Handler) delegate(ctx context.Context, q *query, helper *Helper) *GatherAnswer {
 	r := q.request
+	size := r.size()
+	if !h.callMemory.Reserve(size) {
+		return nil
+	}
+	defer h.callMemory.Release(size)
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	defer context.AfterFunc(h.delegation, cancel)()
--- a/internal/relaynode/node.go
+++ b/internal/relaynode/node.go
@@ -275,12 +275,14 @@
 	gauge := n.scope.Gauge("log_lines_dropped")
 	callers := n.scope.SubScope("callers")
 	conns, bytes := callers.Gauge("connections"), callers.Gauge("request_bytes")
+	callBytes := callers.Gauge("call_bytes")
 	leaves := n.scope.SubScope("relay")
 	periodic.Run(ctx, metricsInterval, func() {
 		gauge.Update(float64(n.droppedLogLines()))
 		openConns, requestBytes := n.callers.Usage()
 		conns.Update(float64(openConns))
 		bytes.Update(float64(requestBytes))
+		callBytes.Update(float64(n.handler.CallBytes()))
 		n.services.Report(leaves)
 	})
 }
--- a/test.sh
+++ b/test.sh
@@ -23,4 +23,4 @@
 go test -race -count=1 -timeout 3m -skip="$skip" ./internal/soak
 # Crowds of callers run apart from other load, one at a time; the node program that they
 # press on runs without the race detector, whose memory would count.
-go test -count=1 -timeout 5m -p 1 -skip="$skip" ./internal/hostile
+go test -count=1 -timeout 9m -p 1 -skip="$skip" ./internal/hostile
