--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sys/unix"
 
 	"github.com/redwingshelf/redwingshelf/internal/intake"
 )
@@ -23,11 +24,11 @@
 	// twice its size, while the buffer of its body grows.
 	connMemoryRatio    = 0.2
 	requestMemoryRatio = 0.1
-	// socketMemoryRatio is the fraction of the memory for data that the buffers of callers' connections
-	// may take in the system.
-	socketMemoryRatio = 0.5
-	minSocketBytes    = 8 << 10
-	maxSocketBytes    = 256 << 10
+	// receiveBytes is the size of the system's receive buffer of a connection. A fixed one does not grow
+	// for a caller that sends much before the process stops reading.
+	receiveBytes = 64 << 10
+	// unsentBytes is the number of bytes that the system takes of an answer before it can send them.
+	unsentBytes = 32 << 10
 	// reservedFiles are not available for sockets, and callerFilesRatio is the fraction of the others
 	// that callers' connections may use.
 	reservedFiles    = 200
@@ -51,18 +52,10 @@
 // errRemoved is the error of reading on a connection that was closed in favour of others.
 var errRemoved = errors.New("the connection was closed in favour of others that make progress")
 
-// Limits bound what callers hold of a process and of the system.
-type Limits struct {
-	intake.Limits
-	// SocketBytes is the size of the send and of the receive buffer of a connection. Zero leaves them to
-	// the system.
-	SocketBytes int
-}
-
-// LimitsFor returns the limits of a process with memoryBytes of memory for data and a limit of descriptors.
+// Limits returns the limits of a process with memoryBytes of memory for data and a limit of descriptors.
 // Zero means that there is none.
-func LimitsFor(memoryBytes int64, files int) Limits {
-	l := Limits{Limits: intake.Limits{Conns: defaultConns, Bytes: defaultRequestBytes}}
+func Limits(memoryBytes int64, files int) intake.Limits {
+	l := intake.Limits{Conns: defaultConns, Bytes: defaultRequestBytes}
 	if memoryBytes > 0 {
 		l.Conns = min(l.Conns, int(connMemoryRatio*float64(memoryBytes)/connBytes))
 		l.Bytes = max(int64(requestMemoryRatio*float64(memoryBytes)), minRequestBytes)
@@ -71,21 +64,15 @@
 		l.Conns = min(l.Conns, int(callerFilesRatio*float64(files-reservedFiles)))
 	}
 	l.Conns = max(l.Conns, minConns)
-	if memoryBytes > 0 {
-		// The system doubles the size for its own data.
-		perBuffer := socketMemoryRatio * float64(memoryBytes) / float64(4*l.Conns)
-		l.SocketBytes = min(max(int(perBuffer), minSocketBytes), maxSocketBytes)
-	}
 	return l
 }
 
 // Listener accepts connections within limits. It implements net.Listener.
 type Listener struct {
 	net.Listener
-	start       time.Time
-	socketBytes int
-	removed     tally.Counter
-	refused     tally.Counter
+	start   time.Time
+	removed tally.Counter
+	refused tally.Counter
 	// mu guards account and byAccount.
 	mu        sync.Mutex
 	account   *intake.Account
@@ -102,9 +89,9 @@
 }
 
 // Listen bounds the connections of a listener.
-func Listen(l net.Listener, limits Limits, scope tally.Scope) *Listener {
+func Listen(l net.Listener, limits intake.Limits, scope tally.Scope) *Listener {
 	return &Listener{
-		Listener: l, start: time.Now(), socketBytes: limits.SocketBytes, account: intake.NewAccount(limits.Limits), byAccount: map[*intake.Conn]*Conn{},
+		Listener: l, start: time.Now(), account: intake.NewAccount(limits), byAccount: map[*intake.Conn]*Conn{},
 		removed: scope.Counter("connections_removed"), refused: scope.Counter("connections_refused"),
 	}
 }
@@ -127,10 +114,8 @@
 }
 
 func (l *Listener) open(raw net.Conn) *Conn {
-	if tcp, ok := raw.(*net.TCPConn); ok && l.socketBytes > 0 {
-		// If this fails, the connection has ended already.
-		_ = tcp.SetReadBuffer(l.socketBytes)
-		_ = tcp.SetWriteBuffer(l.socketBytes)
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		boundBuffers(tcp)
 	}
 	l.mu.Lock()
 	entry, victim := l.account.Open(l.now())
@@ -148,6 +133,19 @@
 	return c
 }
 
+// boundBuffers bounds what the system buffers for a connection that is not read, or whose caller does not
+// read. Without these options, which some systems lack, the system's own bounds apply.
+func boundBuffers(c *net.TCPConn) {
+	_ = c.SetReadBuffer(receiveBytes)
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsentBytes)
+	})
+}
+
 // take returns the connection of an entry that the account has removed. mu is held.
 func (l *Listener) take(entry *intake.Conn) *Conn {
 	c := l.byAccount[entry]
--- a/internal/callerconn/listener_test.go
+++ b/internal/callerconn/listener_test.go
@@ -37,7 +37,7 @@
 		})),
 	}
 	go func() {
-		_ = server.Serve(Listen(l, Limits{Limits: intake.Limits{Conns: 10, Bytes: 4 << 10}}, tally.NoopScope))
+		_ = server.Serve(Listen(l, intake.Limits{Conns: 10, Bytes: 4 << 10}, tally.NoopScope))
 	}()
 	t.Cleanup(func() { _ = server.Close() })
 	return l.Addr().String(), begun, end
--- a/internal/callerconn/operators.go
+++ b/internal/callerconn/operators.go
@@ -14,7 +14,6 @@
 const (
 	operatorConns        = 64
 	operatorBytes        = 1 << 20
-	operatorSocketBytes  = 32 << 10
 	operatorHeaderBytes  = 16 << 10
 	operatorReadTimeout  = 5 * time.Second
 	operatorWriteTimeout = 30 * time.Second
@@ -23,7 +22,7 @@
 
 // ListenForOperators bounds the connections of a listener for operators.
 func ListenForOperators(l net.Listener, scope tally.Scope) *Listener {
-	return Listen(l, Limits{Limits: intake.Limits{Conns: operatorConns, Bytes: operatorBytes}, SocketBytes: operatorSocketBytes}, scope)
+	return Listen(l, intake.Limits{Conns: operatorConns, Bytes: operatorBytes}, scope)
 }
 
 // OperatorServer returns a server for requests without bodies on a listener for operators.
--- a/internal/hostile/gather_test.go
+++ b/internal/hostile/gather_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -88,3 +89,33 @@
 		c.wait()
 	}, func() int { return n.ordinaryRequest("b") })
 }
+
+// TestLargeBodiesToPeers has callers of several small nodes send whole bodies on a route that one large node
+// gathers for them.
+func TestLargeBodiesToPeers(t *testing.T) {
+	const smallNodes = 10
+	s := newSite(t, relayLimits{memoryMB: memoryMB, files: 1000, bodyBytes: bodyBytes}, withSilentShards(t, 40))
+	large := s.start(4)
+	var small []*node
+	for range smallNodes {
+		small = append(small, s.start(0.1))
+	}
+	// The nodes learn of each other.
+	time.Sleep(5 * time.Second)
+	require.Equal(t, http.StatusOK, large.ordinaryRequest("b"))
+	c := new(callers)
+	defer c.close()
+	large.underPressure(func() {
+		for _, n := range small {
+			c.open(n.front, 40, func(w io.Writer, _ bool) {
+				_, _ = io.WriteString(w, headTo("POST", searchHost, fmt.Sprintf("Content-Length: %d\r\n\r\n", bodyBytes)))
+				_, _ = w.Write(make([]byte, bodyBytes))
+			})
+		}
+		c.wait()
+	}, func() int { return large.ordinaryRequest("b") })
+	for _, n := range small {
+		require.Equal(t, http.StatusOK, n.ordinaryRequest("b"))
+		require.Less(t, n.peakMemoryMB(), memoryMB, "memory of a small node in MB")
+	}
+}
--- a/internal/hostile/process_test.go
+++ b/internal/hostile/process_test.go
@@ -192,9 +192,19 @@
 	bodyBytes int
 }
 
-// startRelay starts a node with the routes, services and leaves that configure adds to those of the
-// ordinary requests.
-func startRelay(t *testing.T, l relayLimits, configure func(*platformtest.Store, *platformtest.Config)) *node {
+// site is what the nodes of a test share: the platform's store, with the routes and the leaves, and the
+// ports of the nodes, each of which has an address of its own.
+type site struct {
+	t      *testing.T
+	limits relayLimits
+	store  *platformtest.Store
+	ports  []string
+	nodes  int
+}
+
+// newSite returns a site with the routes, services and leaves that configure adds to those of the ordinary
+// requests.
+func newSite(t *testing.T, l relayLimits, configure func(*platformtest.Store, *platformtest.Config)) *site {
 	store := platformtest.NewStore()
 	t.Cleanup(store.Close)
 	config := &platformtest.Config{
@@ -212,34 +222,51 @@
 	leaf, err := platformtest.StartLeaf(platformtest.LeafOptions{ID: "i-1", Service: "s", Zone: "z", Listen: "127.0.0.1:0"}, store, new(platformtest.Journal))
 	require.NoError(t, err)
 	t.Cleanup(leaf.Kill)
-	addresses := freeAddresses(4)
+	s := &site{t: t, limits: l, store: store}
+	for _, address := range freeAddresses(4) {
+		s.ports = append(s.ports, portOf(address))
+	}
+	return s
+}
+
+// start starts a node with a number of cores and waits until it is ready.
+func (s *site) start(cores float64) *node {
+	s.nodes++
+	ip := fmt.Sprintf("127.0.0.%d", s.nodes)
+	at := func(i int) string { return net.JoinHostPort(ip, s.ports[i]) }
 	n := &node{
-		process: &process{t: t, memoryMB: l.memoryMB, sockets: l.files - reservedFiles},
-		front:   addresses[0], ready: addresses[1], peers: addresses[2], metrics: addresses[3],
+		process: &process{t: s.t, memoryMB: s.limits.memoryMB, sockets: s.limits.files - reservedFiles},
+		front:   at(0), ready: at(1), peers: at(2), metrics: at(3),
 	}
-	settings := fmt.Sprintf(`node = "n"
-ip = "127.0.0.1"
+	settings := fmt.Sprintf(`node = "n%d"
+ip = %q
 zone = "z"
 internalPorts = [%s, %s]
-seeds = []
+seeds = ["127.0.0.1:1"]
 [listen]
 front = %q
 ready = %q
 [limits]
 memoryMb = %d
 maxFds = %d
+cpuShare = %g
 [bounds]
 graceS = 2
 [platform]
 address = %q
-`, portOf(n.peers), portOf(n.metrics), n.front, n.ready, l.memoryMB, l.files, store.Address())
-	file := filepath.Join(t.TempDir(), "node.toml")
-	require.NoError(t, os.WriteFile(file, []byte(settings), 0o600))
-	n.start(exec.Command(binary, "relay", "--settings", file))
+`, s.nodes, ip, s.ports[2], s.ports[3], n.front, n.ready, s.limits.memoryMB, s.limits.files, cores, s.store.Address())
+	file := filepath.Join(s.t.TempDir(), "node.toml")
+	require.NoError(s.t, os.WriteFile(file, []byte(settings), 0o600))
+	n.process.start(exec.Command(binary, "relay", "--settings", file))
 	n.waitReady("http://" + n.ready + "/redwingshelf/ready")
 	return n
 }
 
+// startRelay starts the only node of a site.
+func startRelay(t *testing.T, l relayLimits, configure func(*platformtest.Store, *platformtest.Config)) *node {
+	return newSite(t, l, configure).start(0)
+}
+
 func portOf(address string) string {
 	_, port, _ := net.SplitHostPort(address)
 	return port
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,7 +120,7 @@
 	n.peerServer = peer.NewServer(open.peer, hello, traffic, &peerHandler{node: n})
 	n.config = n.newConfigController()
 	n.hosts = n.newHostsController()
-	n.callers = callerconn.Listen(open.http, callerconn.LimitsFor(data, maxFiles(s.Limits)), n.scope.SubScope("callers"))
+	n.callers = callerconn.Listen(open.http, callerconn.Limits(data, maxFiles(s.Limits)), n.scope.SubScope("callers"))
 	n.callerServer = n.newCallerServer(data)
 	n.operatorServer = n.newOperatorServer()
 	return n, nil
--- a/internal/relaynode/node.go
+++ b/internal/relaynode/node.go
@@ -140,7 +140,7 @@
 	n.sharing.set([]member.Member{n.selfMember()})
 	n.sharing.setMaxGatherers(leafpick.Unbounded)
 	n.idle = newIdleConns(n.idleTimeout)
-	n.callers = callerconn.Listen(n.open.callers, callerconn.LimitsFor(dataBytes, s.MaxFiles), n.scope.SubScope("callers"))
+	n.callers = callerconn.Listen(n.open.callers, callerconn.Limits(dataBytes, s.MaxFiles), n.scope.SubScope("callers"))
 	n.services.SetReclaimAnswers(n.callers.RemoveStalled)
 	n.callerServer = &http.Server{
 		Handler: callerconn.Handler(n.handler), ConnState: n.trackCaller, ConnContext: withCallerConn,
