--- a/internal/hostile/own_test.go
+++ b/internal/hostile/own_test.go
@@ -30,8 +30,8 @@
 	http, ops, peers string
 }
 
-// startOwn starts a node of the product's own interface in front of leaves, which hold a number of documents in three shards. The
-// memory limit and the limit of descriptors are those of the process.
+// startOwn starts a node of the product's own interface in front of leaves that hold documents in three
+// shards. Its limits of memory and of descriptors are those of the process.
 func startOwn(t *testing.T, leaves, documents int) *ownNode {
 	platform, err := standin.NewPlatform()
 	require.NoError(t, err)
@@ -117,7 +117,7 @@
 	return strings.Replace(data, "POST /x HTTP", "POST "+ownPath+" HTTP", 1)
 }
 
-// searchWriter replaces the first line of what is written to it by that of a search.
+// searchWriter replaces the request line in what is first written to it by that of a search.
 type searchWriter struct {
 	io.Writer
 	begun bool
