Take no end of file for the end of an answer whose request could not be written

Cause: a socket reports a reset once. If the write of the request gets it, the read of the answer sees EOF, which also ends an answer without a length. Pool.Do preferred such an answer to the error of its own write.

Change: with a failed write, an answer that only EOF has ended is a failed call that may have run. Answers with a length or a last chunk are still returned, and those after which this node closed the connection itself.

--- a/internal/leafconn/exchange.go
+++ b/internal/leafconn/exchange.go
@@ -72,6 +72,8 @@
 	memory   *memlimit.Memory
 	reserved int
 	head     int
+	// endsAtEOF is set if only the end of the connection marks the end of the body.
+	endsAtEOF bool
 }
 
 // Shrink replaces the body by a shorter one and releases the memory that is not needed any
@@ -164,11 +166,15 @@
 	n, err := r.writeTo(c.raw)
 	if err != nil {
 		p.discard(c)
-		if got := <-e.done; got.answer != nil {
+		got := <-e.done
+		if got.answer != nil && got.answer.completeDespite(err) {
 			// The leaf answered before it had read the whole request.
 			return got.answer, nil
 		}
-		return nil, &Error{Sent: n > 0, Err: fmt.Errorf("send: %w", cause(ctx, err))}
+		if got.answer != nil {
+			got.answer.Release()
+		}
+		return nil, &Error{Sent: n > 0 || got.answer != nil, Err: fmt.Errorf("send: %w", cause(ctx, err))}
 	}
 	close(e.written)
 	got := <-e.done
@@ -178,6 +184,14 @@
 	return got.answer, nil
 }
 
+// completeDespite reports whether the answer is complete although the write of its request has failed
+// with err. A socket reports a reset only once: if the write has got that error, the next read sees
+// EOF, as if the leaf had closed the connection after its answer.
+func (a *Answer) completeDespite(err error) bool {
+	// With net.ErrClosed this node has closed the connection itself, after it had read the answer.
+	return !a.endsAtEOF || errors.Is(err, net.ErrClosed)
+}
+
 // begin returns a connection whose next answer belongs to the request.
 func (p *Pool) begin(ctx context.Context, r *Request) (*conn, *exchange, error) {
 	for {
@@ -328,12 +342,17 @@
 		}
 		c.setKeepIdle(response.Header.Get("Keep-Alive"))
 		answer := &Answer{Status: response.StatusCode, Header: response.Header, Body: body, Took: time.Since(e.started),
-			memory: c.pool.memory, reserved: reserved, head: head}
+			memory: c.pool.memory, reserved: reserved, head: head, endsAtEOF: endsAtEOF(response)}
 		return answer, !response.Close, nil
 	}
 	return nil, false, errForeign
 }
 
+// endsAtEOF reports whether only the end of the connection marks the end of a response's body.
+func endsAtEOF(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Request.Method != http.MethodHead
+}
+
 // ErrInvalidStatus is the error of an answer whose status is none of HTTP, or an interim one that
 // can't be followed by the answer.
 var ErrInvalidStatus = errors.New("the answer has an invalid status")
