Drop calls that have not been sent once nobody waits for their answers

Cause: when a gather is answered, calls of a route below 20 ms are left to finish, to spare their connections. That also kept calls that still waited for a connection, which were sent when one became free.

Change: a call is withdrawn when another attempt has answered it or when its query has ended; a request that is withdrawn leaves the queue of connections and is not sent if it has just got one. The same on related paths: a call to a peer that is cancelled before it is written is not written, and its cancellation is not lost in a full queue; a query sends nothing once its caller has left; a call of the own interface is not sent if it was cancelled while it got its slot or its connection, and a search that begins anew cancels its earlier calls.

--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -17,6 +17,8 @@
 	// open contains the leaves whose result has not arrived.
 	open       map[string]bool
 	cancelLeaf atomic.Pointer[func(leaf string)]
+	// stop cancels all calls of the batch.
+	stop context.CancelFunc
 }
 
 // searchEvent is a result of one batch, or the error that ended the batch.
@@ -46,7 +48,9 @@
 	m := newScatter(run.request, attemptID(run.request.ID, run.attempts), run.collector.Pinned().Name, leaves)
 	m.Permit = run.calls[leaves[0]].permit
 	m.Known = run.searcher.screen.Known(run.request.Fingerprint)
-	go b.scatter(run.ctx, m)
+	ctx, stop := context.WithCancel(run.ctx)
+	b.stop = stop
+	go b.scatter(ctx, m)
 }
 
 func (run *searchRun) countSent(b *batch) {
@@ -58,8 +62,7 @@
 }
 
 func (b *batch) scatter(ctx context.Context, m *wire.Scatter) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	defer b.stop()
 	if err := b.run.searcher.holders.Scatter(ctx, b.host, m, b); err != nil {
 		b.run.sendEvent(searchEvent{batch: b, err: err})
 	}
--- a/internal/entry/search_retry_test.go
+++ b/internal/entry/search_retry_test.go
@@ -8,8 +8,11 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/redwingshelf/redwingshelf/internal/kind"
+	"github.com/redwingshelf/redwingshelf/internal/snapshot"
+	"github.com/redwingshelf/redwingshelf/internal/wire"
 )
 
 // warmUp serves a request and waits until the retry budget has accumulated retries.
@@ -63,3 +66,29 @@
 		assert.LessOrEqual(t, len(fleet.called), len(ranked))
 	})
 }
+
+// waitingFleet passes on the context of each batch, whose calls wait until it ends.
+type waitingFleet struct {
+	*fakeFleet
+	batches chan context.Context
+}
+
+func (f *waitingFleet) Scatter(ctx context.Context, _ Host, _ *wire.Scatter, _ Receiver) error {
+	f.batches <- ctx
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// TestRestartCancelsEarlierCalls guards against calls that wait for slots of leaves although their query has
+// begun anew, on another snapshot, and discards their answers.
+func TestRestartCancelsEarlierCalls(t *testing.T) {
+	fleet, _, r, _ := newStagedRequest(t)
+	r.Stage = false
+	waiting := &waitingFleet{fleet, make(chan context.Context, 1)}
+	run, err := NewSearcher(fleet, waiting, fleet, tally.NoopScope).newRun(t.Context(), r)
+	require.NoError(t, err)
+	earlier := <-waiting.batches
+	require.NoError(t, earlier.Err())
+	run.start(snapshot.Plan{})
+	require.ErrorIs(t, earlier.Err(), context.Canceled)
+}
--- a/internal/entry/search_run.go
+++ b/internal/entry/search_run.go
@@ -303,8 +303,8 @@
 	run.state.hedges.Observe(run.now() - b.sentAt)
 }
 
-// abandonCalls ends the permits of unfinished calls and counts the calls still in
-// flight as ended.
+// abandonCalls cancels the calls still in flight and counts them as ended. It ends the permits of
+// unfinished calls.
 func (run *searchRun) abandonCalls() {
 	for _, call := range run.calls {
 		if !call.ended {
@@ -314,6 +314,7 @@
 	run.state.mu.Lock()
 	defer run.state.mu.Unlock()
 	for _, b := range run.batches {
+		b.stop()
 		for leaf := range b.open {
 			run.state.stats(leaf, b.host.Name).Ended()
 		}
--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -24,8 +24,8 @@
 )
 
 // exchange sends an admitted call and frees its slot once the leaf no longer runs
-// it.
-func (l *leaf) exchange(c *Call, granted slot, permit Permit) wire.LeafResult {
+// it. The call is not sent if withdrawn is closed before.
+func (l *leaf) exchange(c *Call, granted slot, permit Permit, withdrawn <-chan struct{}) wire.LeafResult {
 	deadline := c.Deadline
 	if !permit.CallUntil.IsZero() && permit.CallUntil.Before(deadline) {
 		deadline = permit.CallUntil
@@ -42,6 +42,7 @@
 		Idempotent:  c.Idempotent,
 		Deadline:    deadline,
 		Body:        c.Body,
+		Withdrawn:   withdrawn,
 		Incarnation: granted.incarnation,
 	})
 	latency := time.Since(begin)
@@ -134,7 +135,7 @@
 		l.tracker.Failed(now, warmup.Failure{Sent: epoch, Incarnation: failedIncarnation(callErr), Reason: reason})
 		l.publishWarmStatus(now)
 	}
-	if certainlyEnded(k, callErr) {
+	if certainlyEnded(callErr) {
 		l.endCallLocked(id)
 		return result
 	}
@@ -162,8 +163,8 @@
 }
 
 // certainlyEnded reports whether the leaf certainly no longer runs the call.
-func certainlyEnded(k kind.Kind, e *target.CallError) bool {
-	return e.Incarnation != "" || k.Answer().Run == kind.RunNo
+func certainlyEnded(e *target.CallError) bool {
+	return e.Incarnation != "" || kind.RunOf(e) == kind.RunNo
 }
 
 // endCallLater ends a call after a delay of at least deadlineGrace, or not at all
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -191,7 +191,7 @@
 		return h.refusedBeforeSend(c, err)
 	}
 	done := make(chan wire.LeafResult, 1)
-	if !h.tasks.Go(func() { done <- l.exchange(c, granted, permit) }) {
+	if !h.tasks.Go(func() { done <- l.exchange(c, granted, permit, ctx.Done()) }) {
 		l.endCall(granted.id)
 		h.returnPermit(c)
 		return refusedResult(c, errStopping)
@@ -223,7 +223,8 @@
 	}
 }
 
-// admit waits for a slot and repeats the checks once the call has one.
+// admit waits for a slot and repeats the checks once the call has one. A call is refused if nobody
+// waits for its answer any more.
 func (h *Holder) admit(ctx context.Context, c *Call) (*leaf, slot, Permit, error) {
 	permit, err := h.check(c)
 	if err != nil {
@@ -245,6 +246,10 @@
 		l.release(granted.id)
 		return nil, slot{}, Permit{}, kind.Errorf(kind.NotHolder, "this host may not use a slot of leaf %q now", c.Leaf)
 	}
+	if ctx.Err() != nil {
+		l.endCall(granted.id)
+		return nil, slot{}, Permit{}, kind.WithRun(kind.Errorf(kind.Canceled, "call to leaf %q was canceled before it was sent", c.Leaf), kind.RunNo)
+	}
 	if err := h.checkSend(c); err != nil {
 		l.endCall(granted.id)
 		return nil, slot{}, Permit{}, err
--- a/internal/holder/leaf_test.go
+++ b/internal/holder/leaf_test.go
@@ -340,3 +340,29 @@
 	doc.Normalize()
 	return doc
 }
+
+// cancelingPermits grants all slots, and cancels the call that is about to use one.
+type cancelingPermits struct {
+	fullPermits
+	cancel context.CancelFunc
+}
+
+func (p *cancelingPermits) Begin(leaf string) (Permit, bool) {
+	p.cancel()
+	return p.Permit(leaf), true
+}
+
+// TestCanceledCallIsNotSent guards against a call that reaches its leaf although it was canceled before
+// it was sent.
+func TestCanceledCallIsNotSent(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	caller := &fakeCaller{answers: true, connected: true}
+	h := New(&cancelingPermits{fullPermits{2}, cancel}, allowAllScreen{}, fakeTargets{caller}, nopLog(), tally.NoopScope)
+	defer h.Close()
+	h.SetIndex(document.NewIndex(oneLeafDocument()))
+	result := h.Call(ctx, &Call{Leaf: "t1-0", Deadline: time.Now().Add(time.Minute)})
+	require.Equal(t, kind.Canceled.String(), result.Kind)
+	require.Equal(t, string(kind.RunNo), result.Run)
+	require.Zero(t, caller.calls)
+	require.False(t, h.Busy())
+}
--- a/internal/leafconn/exchange.go
+++ b/internal/leafconn/exchange.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -49,6 +50,9 @@
 	// MaxIdle is the maximum time that the connection may have been idle; zero sets no
 	// limit.
 	MaxIdle time.Duration
+	// Withdrawn is closed when nobody waits for the answer any more. A request that has not been
+	// sent by then is not sent, and one that has been sent is not affected. It may be nil.
+	Withdrawn <-chan struct{}
 	// Check is called before the request is sent, after it may have waited for a connection. If
 	// it fails, the request is not sent. It may be nil.
 	Check func() error
@@ -102,7 +106,7 @@
 	// NotConnected is set if no connection could be opened.
 	NotConnected bool
 	// Withheld is set if the request was not sent although the leaf may be reachable: the pool
-	// is closed or paused, or no connection became free in time.
+	// is closed or paused, no connection became free in time, or the request was withdrawn.
 	Withheld bool
 	Err      error
 }
@@ -197,10 +201,10 @@
 	for {
 		c, err := p.acquire(ctx, r)
 		if err == nil {
-			err = p.checkUsable(c, r)
+			err = p.checkUsable(ctx, c, r)
 		}
 		if err != nil {
-			withheld := errors.Is(err, errClosed) || errors.Is(err, errPaused) || errors.Is(err, errNoFreeConn) || errors.Is(err, errForbidden)
+			withheld := isWithheld(err)
 			return nil, nil, &Error{NotConnected: !withheld, Withheld: withheld, Err: fmt.Errorf("connect: %w", err)}
 		}
 		e := &exchange{request: r, started: time.Now(), written: make(chan struct{}), done: make(chan result, 1)}
@@ -212,12 +216,26 @@
 	}
 }
 
+// isWithheld reports whether a request that failed with err was not sent although the leaf may be
+// reachable.
+func isWithheld(err error) bool {
+	return slices.ContainsFunc([]error{errClosed, errPaused, errNoFreeConn, errForbidden, errWithdrawn},
+		func(reason error) bool { return errors.Is(err, reason) })
+}
+
 // checkUsable releases a connection and returns an error if the pool was closed or paused while
-// the connection was opened, or if the request may no longer be sent.
-func (p *Pool) checkUsable(c *conn, r *Request) error {
+// the connection was opened, if nobody waits for the answer any more, or if the request may no longer be
+// sent.
+func (p *Pool) checkUsable(ctx context.Context, c *conn, r *Request) error {
 	p.mu.Lock()
 	err := p.unusable(time.Now())
 	p.mu.Unlock()
+	if err == nil && ctx.Err() != nil {
+		err = fmt.Errorf("%w: %w", errNoFreeConn, ctx.Err())
+	}
+	if err == nil && r.isWithdrawn() {
+		err = errWithdrawn
+	}
 	if err == nil && r.Check != nil {
 		if forbidden := r.Check(); forbidden != nil {
 			err = fmt.Errorf("%w: %w", errForbidden, forbidden)
@@ -385,6 +403,16 @@
 	}
 }
 
+// isWithdrawn reports whether nobody waits for the answer any more.
+func (r *Request) isWithdrawn() bool {
+	select {
+	case <-r.Withdrawn:
+		return true
+	default:
+		return false
+	}
+}
+
 // writeTo writes the request, and returns the number of bytes written.
 func (r *Request) writeTo(w io.Writer) (int, error) {
 	head := r.encodeHead()
--- a/internal/leafconn/pool.go
+++ b/internal/leafconn/pool.go
@@ -29,6 +29,8 @@
 	errPaused = errors.New("leaf wants no requests for some time")
 	// errNoFreeConn means that the context of a call ended before a connection was free.
 	errNoFreeConn = errors.New("no connection to the leaf became free")
+	// errWithdrawn means that nobody waits for the answer to a request any more.
+	errWithdrawn = fmt.Errorf("request was withdrawn: %w", context.Canceled)
 	// errForbidden means that the request may no longer be sent.
 	errForbidden = errors.New("request may no longer be sent")
 	// errLimitReached means that no further connection may be opened.
@@ -205,6 +207,9 @@
 			return p.dial(ctx)
 		}
 		return c, nil
+	case <-r.Withdrawn:
+		p.cancelWaiter(w)
+		return nil, errWithdrawn
 	case <-ctx.Done():
 		p.cancelWaiter(w)
 		return nil, fmt.Errorf("%w: %w", errNoFreeConn, ctx.Err())
--- a/internal/leafconn/pool_test.go
+++ b/internal/leafconn/pool_test.go
@@ -182,3 +182,40 @@
 	assert.False(t, failed.Sent)
 	assert.False(t, failed.NotConnected)
 }
+
+// TestWithdrawnRequestIsNotSent guards against requests that reach a leaf after nobody waits for their
+// answers: one that waits for a connection, and one that has just got it.
+func TestWithdrawnRequestIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPool("leaf", 1, true, memlimit.New(0))
+		near, far := net.Pipe()
+		defer func() { _, _ = near.Close(), far.Close() }()
+		leaf := newConn(p, near)
+		p.open = 1
+		withdrawn := make(chan struct{})
+		waiting := plainRequest()
+		waiting.Withdrawn = withdrawn
+		errs := make(chan error, 1)
+		go func() {
+			_, err := p.Do(t.Context(), waiting)
+			errs <- err
+		}()
+		synctest.Wait()
+		require.Len(t, p.waiters, 1)
+		close(withdrawn)
+		err := <-errs
+		assertWithheld(t, err)
+		require.ErrorIs(t, err, context.Canceled)
+		require.Empty(t, p.waiters)
+
+		p.release(leaf)
+		go leaf.readLoop()
+		_, err = p.Do(t.Context(), waiting)
+		assertWithheld(t, err)
+		canceled, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err = p.Do(canceled, plainRequest())
+		assertWithheld(t, err)
+		require.Len(t, p.idle, 1, "the connection stays usable")
+	})
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -147,7 +147,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	l.liveness.sent.Store(true)
-	s := l.open(buffer)
+	s := l.open(t, buffer)
 	if s == nil {
 		return nil, ErrNotSent
 	}
@@ -294,14 +294,14 @@
 }
 
 // open registers a new stream. It returns nil if the link has failed.
-func (l *clientLink) open(buffer int) *Stream {
+func (l *clientLink) open(call wire.Type, buffer int) *Stream {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.failed {
 		return nil
 	}
 	l.next++
-	s := &Stream{id: l.next, link: l, frames: make(chan wire.Frame, buffer)}
+	s := &Stream{id: l.next, call: call, link: l, frames: make(chan wire.Frame, buffer)}
 	l.streams[s.id] = s
 	return s
 }
--- a/internal/peer/queue.go
+++ b/internal/peer/queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 
 	"github.com/redwingshelf/redwingshelf/internal/wire"
@@ -35,6 +36,8 @@
 		select {
 		case <-q.done:
 			return ErrNotSent
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
 		default:
 		}
 		pushed, space := q.tryPush(frame, true)
@@ -73,24 +76,55 @@
 		}
 		return false, q.space
 	}
+	q.appendLocked(frame)
+	return true, nil
+}
+
+// append adds a frame even if there is no space. It is for the cancellation of calls that have been
+// taken, whose number is bounded by that of the calls.
+func (q *queue) append(frame wire.Frame) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.appendLocked(frame)
+}
+
+func (q *queue) appendLocked(frame wire.Frame) {
 	q.frames = append(q.frames, frame)
 	select {
 	case q.ready <- struct{}{}:
 	default:
 	}
-	return true, nil
 }
 
-// take removes and returns all queued frames.
-func (q *queue) take() []wire.Frame {
+// withdraw removes the frame of a type and stream that has not been taken, and reports whether there
+// was one.
+func (q *queue) withdraw(t wire.Type, stream uint64) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	frames := q.frames
-	q.frames = nil
+	i := slices.IndexFunc(q.frames, func(f wire.Frame) bool { return f.Type == t && f.Stream == stream })
+	if i < 0 {
+		return false
+	}
+	q.frames = slices.Delete(q.frames, i, i+1)
+	q.freeLocked()
+	return true
+}
+
+// freeLocked wakes up the pushes that wait for space.
+func (q *queue) freeLocked() {
 	if q.space != nil {
 		close(q.space)
 		q.space = nil
 	}
+}
+
+// take removes and returns all queued frames.
+func (q *queue) take() []wire.Frame {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	frames := q.frames
+	q.frames = nil
+	q.freeLocked()
 	return frames
 }
 
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -11,7 +11,9 @@
 
 // Stream is the calling end of one call.
 type Stream struct {
-	id     uint64
+	id uint64
+	// call is the type of the frame that begins the call.
+	call   wire.Type
 	link   *clientLink
 	frames chan wire.Frame
 	// mu guards err and ended.
@@ -33,12 +35,15 @@
 	}
 }
 
-// Close abandons the stream and, if it is still open, cancels the call at the other end.
+// Close abandons the stream and, if it is still open, cancels the call at the other end. A call that
+// has not been written yet is not sent.
 func (s *Stream) Close() {
 	if s.link.remove(s.id) == nil {
 		return
 	}
-	s.link.offer(wire.Frame{Type: wire.TypeCancel, Stream: s.id})
+	if !s.link.queue.withdraw(s.call, s.id) {
+		s.link.queue.append(wire.Frame{Type: wire.TypeCancel, Stream: s.id})
+	}
 	s.end(context.Canceled)
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -133,8 +133,8 @@
 	return true
 }
 
-// exchange runs one attempt and sends it to the results. Unless it is cancelled, it continues
-// after the query has ended, so that the connection can be reused.
+// exchange runs one attempt and sends it to the results. Unless it is cancelled, an attempt that has
+// been sent continues after the query has ended, so that the connection can be reused.
 func (q *query) exchange(ctx context.Context, a *attempt, p *leafPool) {
 	defer q.reserved.release()
 	defer a.cancel()
@@ -142,7 +142,8 @@
 	var sendRecord *quarantine.SentContent
 	request := &leafconn.Request{
 		Method: r.method, URI: r.uri, Host: r.host, Body: r.body, Priority: r.priority(), Tenant: r.tenantName(),
-		Check: func() error { return q.handler.checkAccess(r) },
+		Withdrawn: a.call.withdrawn,
+		Check:     func() error { return q.handler.checkAccess(r) },
 		Header: func() http.Header {
 			sendRecord = a.serviceState.sendRecord(p, r, a.contentFingerprint)
 			header := maps.Clone(r.header)
@@ -250,8 +251,11 @@
 }
 
 // cancelInFlight cancels the attempts that are no longer needed. If the caller is still connected,
-// attempts that are expected to finish soon continue.
+// attempts that have been sent and are expected to finish soon continue.
 func (q *query) cancelInFlight(ctx context.Context) {
+	for _, c := range q.calls {
+		c.withdraw()
+	}
 	callerGone := ctx.Err() != nil
 	if !callerGone && q.state.meanLatency() < minCancelLatency {
 		return
--- a/internal/relay/divide.go
+++ b/internal/relay/divide.go
@@ -177,7 +177,7 @@
 		zap.Int("shards", len(p.shards)), zap.Error(err))
 	calls := make([]*call, len(p.shards))
 	for i, service := range p.shards {
-		calls[i] = &call{service: service}
+		calls[i] = newCall(service)
 	}
 	q.calls = append(q.calls, calls...)
 	p.shards = nil
@@ -209,7 +209,10 @@
 // runPart runs the query of a part.
 func (q *query) runPart(ctx context.Context, send func(*GatherAnswer) error) error {
 	lacking := len(q.calls) - q.callable() + q.saturated(time.Until(q.partialDeadline))
-	// Calls are left to finish as if the caller had its answer.
+	if ctx.Err() != nil {
+		return nil
+	}
+	// Calls that have been sent are left to finish as if the caller had its answer.
 	defer q.cancelInFlight(context.Background())
 	q.sendFirstAttempts(q.calls)
 	timer := time.NewTimer(0)
@@ -243,12 +246,17 @@
 			wakeAt = answerAt
 		}
 		timer.Reset(time.Until(wakeAt))
+		var received *attempt
 		select {
-		case a := <-q.results:
-			q.receive(a)
+		case received = <-q.results:
 		case <-timer.C:
 		case <-ctx.Done():
+		}
+		switch {
+		case ctx.Err() != nil:
 			return nil
+		case received != nil:
+			q.receive(received)
 		}
 	}
 }
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -85,6 +85,10 @@
 	lastSent       time.Duration
 	nextHedgeCheck time.Duration
 	ended          bool
+	// withdraw withdraws the attempts that have not been sent, by closing withdrawn. It may be called
+	// more than once.
+	withdraw  func()
+	withdrawn <-chan struct{}
 	// answered is the attempt with the answer, or nil.
 	answered *attempt
 	// lastFailed is the most recent failed attempt.
@@ -93,6 +97,11 @@
 	mayHaveRun int
 }
 
+func newCall(service string) *call {
+	withdrawn := make(chan struct{})
+	return &call{service: service, withdrawn: withdrawn, withdraw: sync.OnceFunc(func() { close(withdrawn) })}
+}
+
 func newQuery(h *Handler, r *request) *query {
 	q := &query{handler: h, request: r, state: h.routes.get(r.route), total: 1}
 	services := r.route.Shards
@@ -108,7 +117,7 @@
 // addCalls adds a call to each service.
 func (q *query) addCalls(services []string) {
 	for _, s := range services {
-		q.calls = append(q.calls, &call{service: s})
+		q.calls = append(q.calls, newCall(s))
 	}
 	q.results = make(chan *attempt, q.total*dispatch.MaxAttempts(q.request.route.MaxAttempts))
 }
@@ -141,6 +150,9 @@
 			return err
 		}
 	}
+	if ctx.Err() != nil {
+		return kind.WithRun(errCallerGone, kind.RunNo)
+	}
 	defer q.cancelInFlight(ctx)
 	defer q.endParts()
 	q.delegateParts(ctx)
@@ -162,20 +174,32 @@
 		}
 		q.hedge()
 		timer.Reset(time.Until(q.wakeAt()))
+		var ended *attempt
+		var update *partUpdate
 		select {
-		case a := <-q.results:
-			q.receive(a)
+		case ended = <-q.results:
 		case u := <-q.updates:
-			q.receivePart(u)
+			update = &u
 		case <-timer.C:
 		case <-stopBegun:
 			stopBegun = nil
 		case <-ctx.Done():
-			return kind.Errorf(kind.Canceled, "the caller disconnected")
+		}
+		switch {
+		case ctx.Err() != nil:
+			// No retry is sent for a caller that has left, even if a result arrived as well.
+			return errCallerGone
+		case ended != nil:
+			q.receive(ended)
+		case update != nil:
+			q.receivePart(*update)
 		}
 	}
 }
 
+// errCallerGone is the error of a query whose caller does not wait for the answer.
+var errCallerGone = kind.Errorf(kind.Canceled, "the caller disconnected")
+
 // checkCapacity refuses a gather if it is already known that too many shards lack a leaf, or one
 // that can answer in time.
 func (q *query) checkCapacity() error {
@@ -395,6 +419,7 @@
 	}
 	if a.outcome == leafpick.Answered {
 		c.ended, c.answered = true, a
+		c.withdraw()
 		q.ownAnswered++
 		q.addAnswered(1)
 		q.findStragglers()
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -64,6 +64,11 @@
 	if remaining <= 0 {
 		return nil, deadlinePassed(r)
 	}
+	select {
+	case <-r.Withdrawn:
+		return nil, newCallError(kind.WithRun(kind.Errorf(kind.Canceled, "call to leaf %q was withdrawn", r.Leaf), kind.RunNo))
+	default:
+	}
 	if r.Incarnation != "" && c.firstReport.Incarnation != "" && c.firstReport.Incarnation != r.Incarnation {
 		return nil, incarnationMismatch(c, r)
 	}
--- a/internal/target/http_test.go
+++ b/internal/target/http_test.go
@@ -142,3 +142,17 @@
 	require.Equal(t, kind.DeadlinePassed, kind.Of(err), "%v", err)
 	require.Equal(t, kind.RunNo, kind.RunOf(err))
 }
+
+// TestWithdrawnCallIsNotSent guards against a call that is sent to its leaf once a connection is open,
+// although nobody waits for the answer any more.
+func TestWithdrawnCallIsNotSent(t *testing.T) {
+	leaf, caller := newLeaf(t, standin.LeafOptions{})
+	r := newRequest()
+	withdrawn := make(chan struct{})
+	close(withdrawn)
+	r.Withdrawn = withdrawn
+	_, err := caller.Call(context.Background(), r)
+	require.Equal(t, kind.Canceled, kind.Of(err))
+	require.Equal(t, kind.RunNo, kind.RunOf(err))
+	require.Empty(t, leaf.Records())
+}
--- a/internal/target/types.go
+++ b/internal/target/types.go
@@ -29,6 +29,9 @@
 	Idempotent bool
 	Deadline   time.Time
 	Body       []byte
+	// Withdrawn is closed when nobody waits for the answer any more. A call that has not been sent by
+	// then is not sent. It may be nil.
+	Withdrawn <-chan struct{}
 	// Incarnation is the incarnation of the process that the call is meant for, or empty
 	// for any. The call is not sent to another process.
 	Incarnation string
