Keep the allowance of a crashing content over losses of all nodes

Cause: the crash records are lost with the nodes, so that the content is sent like an unknown one again: two requests and a trial. And the allowance was used up before: the second trial followed 8 s after the first one had crashed a leaf.

Change: a content that is the sole cause of its ends gets its second trial after 10 min. Sole cause means that the services with the ends have never answered it, that no other content was unanswered at all of them, and that no other leaf ended at the same time. Nodes know how far back their records reach, and take that over from peers. If earlier records may be lost (the settings say that nodes have run before, or leaves have started again before the records begin), a sole cause is held after one request whose attempts have ended two leaves one after the other, without the early trial. Records keep 32 ends instead of 16, whole services first, so that a content that crashes many shards stays recognisable.

TestCrashesTrials and TestStartingHostKeepsTrialBackoff expected trials of a sole cause after 8 s and 90 s; they now expect none before 10 min, and the former schedule for a content that ran beside another one.

--- a/internal/quarantine/crashes.go
+++ b/internal/quarantine/crashes.go
@@ -16,18 +16,26 @@
 	// content that ran beside one that crashes targets must not run beside it again in
 	// its own trial.
 	trialSpacing = 400 * time.Millisecond
+	// simultaneousEnds is the time within which the ends of different targets may have one cause.
+	simultaneousEnds = time.Second
 	// maxEnds bounds the ends that are recorded for a content, and maxServices the
 	// services whose last answer is recorded.
-	maxEnds     = 16
+	maxEnds     = 32
 	maxServices = 256
+	// maxAnswered is the number of contents and services whose answers this host remembers at least.
+	maxAnswered = 4096
 	// maxMessageRecords bounds the records in one message.
 	maxMessageRecords = 64
 )
 
 // trialBackoff holds the delays before the next trial, by the number of trials so far; the
 // last one repeats. The delay starts at the last end, or when a trial was last granted or
-// returned.
-var trialBackoff = []time.Duration{500 * time.Millisecond, 8 * time.Second, 90 * time.Second, 10 * time.Minute}
+// returned. soleCauseBackoff takes its place if the content is the sole cause. Its first delay is left out
+// if moreover the records may lack earlier ends.
+var (
+	trialBackoff     = []time.Duration{500 * time.Millisecond, 8 * time.Second, 90 * time.Second, 10 * time.Minute}
+	soleCauseBackoff = []time.Duration{500 * time.Millisecond, 10 * time.Minute}
+)
 
 // ProcessEnd is the end of a target's process while a content that was sent to it was not
 // answered.
@@ -43,6 +51,9 @@
 	// of the target or earlier. EndedBy is the latest time at which the target can have ended.
 	// In a message, they are the times elapsed since then.
 	Received, Ended, EndedBy time.Duration
+	// Sent is when the request was sent to the target, or Received if that is not known. In a
+	// message, it is the time elapsed since then.
+	Sent time.Duration
 }
 
 // Clearance is an answer of a service that clears a content of earlier ends in that service.
@@ -58,6 +69,9 @@
 // learns from other hosts.
 const distantPast = time.Duration(-1 << 62)
 
+// distantFuture is after all other times.
+const distantFuture = time.Duration(1<<63 - 1)
+
 // CrashRecord is the crash record of one content as hosts exchange it.
 type CrashRecord struct {
 	//lint:ignore U1000 read by msgpack
@@ -80,6 +94,9 @@
 	// IDBase is a random number after which this host's observation IDs start, so that they
 	// differ from those of other hosts.
 	IDBase uint64
+	// AfterLoss is set if hosts have kept records before this host started. If no other host has them
+	// any more, they are lost.
+	AfterLoss bool
 }
 
 // Crashes records the contents that targets had not answered when their processes ended. A
@@ -97,13 +114,30 @@
 	// updates holds the contents whose records must be sent to the other hosts.
 	updates map[Fingerprint]struct{}
 	lastID  uint64
+	// answered are the contents that services have answered to this host, also without a record.
+	answered recentSet[answeredContent]
 	// lastGrant is when this host granted the last trial.
 	lastGrant time.Duration
+	// begin is the time since which the hosts have kept records without losing them all. It may be
+	// before this host's start. afterLoss is set if there were hosts with other records before.
+	begin     time.Duration
+	afterLoss bool
+	// firstStart is the earliest start of a target that was observed, and restarts holds, by service, the
+	// last start before begin of a target that had started again.
+	firstStart time.Duration
+	restarts   map[string]time.Duration
+}
+
+// answeredContent is a content that a service has answered.
+type answeredContent struct {
+	fingerprint Fingerprint
+	service     string
 }
 
-// NewCrashes returns empty Crashes.
+// NewCrashes returns empty Crashes that begin at time zero.
 func NewCrashes(o CrashOptions) *Crashes {
-	return &Crashes{options: o, records: map[Fingerprint]*crashRecord{}, updates: map[Fingerprint]struct{}{}, lastID: o.IDBase, lastGrant: distantPast}
+	return &Crashes{options: o, records: map[Fingerprint]*crashRecord{}, updates: map[Fingerprint]struct{}{}, lastID: o.IDBase, lastGrant: distantPast, afterLoss: o.AfterLoss,
+		answered: newRecentSet[answeredContent](maxAnswered), firstStart: distantFuture, restarts: map[string]time.Duration{}}
 }
 
 // Empty reports whether there are no unexpired records.
@@ -130,6 +164,7 @@
 func (c *Crashes) RecordAnswer(now time.Duration, f Fingerprint, service string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.answered.add(answeredContent{f, service})
 	r := c.lookup(now, f)
 	if r == nil {
 		return 0
@@ -149,13 +184,10 @@
 	if r == nil {
 		return nil
 	}
-	var suspects []string
-	for service, n := range r.countByService() {
-		if n >= quarantineThreshold {
-			suspects = append(suspects, service)
-		}
+	if suspects := aboveThreshold(r.countByService()); len(suspects) > 0 {
+		return suspects
 	}
-	return suspects
+	return aboveThreshold(countServices(r.successive()))
 }
 
 // Count returns the number of consecutive ends in the service with the most of them.
@@ -169,35 +201,77 @@
 }
 
 // MayRepeat reports whether a content may be sent more often than callers request it, as a
-// retry or a hedge.
-func (c *Crashes) MayRepeat(now time.Duration, f Fingerprint) bool {
-	return c.Count(now, f) < quarantineThreshold
+// retry or a hedge. cautious is as for Admit.
+func (c *Crashes) MayRepeat(now time.Duration, f Fingerprint, cautious bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.lookup(now, f)
+	return r == nil || !c.isQuarantined(now, f, r, cautious)
 }
 
-// Admit decides on a request: it returns Pass, Refuse or, once a trial is due, Trial.
-func (c *Crashes) Admit(now time.Duration, f Fingerprint) Verdict {
+// Admit decides on a request: it returns Pass, Refuse or, once a trial is due, Trial. cautious is set if
+// the records may lack earlier ends, as MayLackEnds reports. A content that is the sole cause of its
+// ends is then quarantined already if two attempts of one request have met them one after the other,
+// and its first trial is late.
+func (c *Crashes) Admit(now time.Duration, f Fingerprint, cautious bool) Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.lookup(now, f)
 	switch {
-	case r == nil || r.count() < quarantineThreshold:
+	case r == nil || !c.isQuarantined(now, f, r, cautious):
 		return Pass
-	case now < r.nextTrialAt():
+	case now < c.nextTrialAt(now, f, r, cautious):
 		return Refuse
 	}
 	return Trial
 }
 
-// GrantTrial reports whether a content may be sent once. It counts a trial if the content is
-// quarantined and a trial is due. Only the host that decides on trials calls it.
+// isQuarantined reports whether the content of a record is quarantined. mu is held.
+func (c *Crashes) isQuarantined(now time.Duration, f Fingerprint, r *crashRecord, cautious bool) bool {
+	return r.count() >= quarantineThreshold || cautious && r.mayBeQuarantined() && c.isSoleCause(now, f, r)
+}
+
+// nextTrialAt returns when the next trial of a quarantined content is due. mu is held.
+func (c *Crashes) nextTrialAt(now time.Duration, f Fingerprint, r *crashRecord, cautious bool) time.Duration {
+	backoff, trials := trialBackoff, r.trials
+	if c.isSoleCause(now, f, r) {
+		backoff = soleCauseBackoff
+		if cautious {
+			trials++
+		}
+	}
+	return r.lastEvent() + backoff[min(trials, len(backoff)-1)]
+}
+
+// isSoleCause reports whether the ends because of which the content of a record is quarantined can have no
+// other cause: none of their services is known to have answered the content before, no other content was
+// unanswered at all of them, and no target that did not run the content has ended at the same time. mu is
+// held.
+func (c *Crashes) isSoleCause(now time.Duration, f Fingerprint, r *crashRecord) bool {
+	suspects := aboveThreshold(countServices(r.successive()))
+	if slices.ContainsFunc(suspects, func(service string) bool { return c.answered.has(answeredContent{f, service}) }) {
+		return false
+	}
+	ends := slices.DeleteFunc(r.successive(), func(end ProcessEnd) bool { return !slices.Contains(suspects, end.Service) })
+	for g, other := range c.records {
+		if g != f && now < other.expiresAt && (other.sharesAll(ends) || other.endedElsewhere(r, ends)) {
+			return false
+		}
+	}
+	return true
+}
+
+// GrantTrial reports whether a content may be sent once. It counts a trial if the content may be
+// quarantined and a trial is due. Only the host that decides on trials calls it, for contents whose trial
+// is due by Admit.
 func (c *Crashes) GrantTrial(now time.Duration, f Fingerprint) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.lookup(now, f)
-	if r == nil || r.count() < quarantineThreshold {
+	if r == nil || !r.mayBeQuarantined() {
 		return true
 	}
-	if now < r.nextTrialAt() || now < c.lastGrant+trialSpacing {
+	if now < c.nextTrialAt(now, f, r, false) || now < c.lastGrant+trialSpacing {
 		return false
 	}
 	c.lastGrant = now
@@ -241,7 +315,11 @@
 		if end.EndedBy < 0 || end.Ended < end.EndedBy || end.Received < end.Ended || end.Received > c.options.TTL {
 			continue
 		}
-		end.Received, end.Ended, end.EndedBy = now-end.Received, now-end.Ended, now-end.EndedBy
+		if end.Sent < end.Ended || end.Sent > end.Received {
+			// The sender does not know it.
+			end.Sent = end.Received
+		}
+		end.Received, end.Sent, end.Ended, end.EndedBy = now-end.Received, now-end.Sent, now-end.Ended, now-end.EndedBy
 		if last, answered := r.answered[end.Service]; !answered || end.Ended > last.at {
 			r.add(end)
 		} else if end.Ended > last.clearedAt {
--- a/internal/quarantine/crashes_test.go
+++ b/internal/quarantine/crashes_test.go
@@ -52,17 +52,17 @@
 	f, other := Fingerprint{1}, Fingerprint{2}
 	c := newCrashes(1)
 	require.True(t, c.Empty(0))
-	require.True(t, c.MayRepeat(0, f))
+	require.True(t, c.MayRepeat(0, f, false))
 	require.Equal(t, 1, c.RecordEnd(2*second, f, end("s", target(), second, 2*second, 2*second)))
 	require.Equal(t, 1, c.RecordEnd(2*second, f, end("s", target(), second, 2*second, 2*second)), "the requests were concurrent")
-	require.True(t, c.MayRepeat(2*second, f))
-	require.Equal(t, Pass, c.Admit(2*second, f))
+	require.True(t, c.MayRepeat(2*second, f, false))
+	require.Equal(t, Pass, c.Admit(2*second, f, false))
 	require.Equal(t, 1, c.RecordEnd(3*second, f, end("t", target(), 2*second, 3*second, 3*second)), "ends in another service may have another cause")
 	require.Equal(t, 2, c.RecordEnd(3*second, f, end("s", target(), 2*second, 3*second, 3*second)))
-	require.False(t, c.MayRepeat(3*second, f))
-	require.True(t, c.MayRepeat(3*second, other))
-	require.Equal(t, Refuse, c.Admit(3*second, f))
-	require.Equal(t, Pass, c.Admit(3*second, other))
+	require.False(t, c.MayRepeat(3*second, f, false))
+	require.True(t, c.MayRepeat(3*second, other, false))
+	require.Equal(t, Refuse, c.Admit(3*second, f, false))
+	require.Equal(t, Pass, c.Admit(3*second, other, false))
 	require.False(t, c.Empty(3*second))
 
 	require.Equal(t, 2, c.RecordAnswer(4*second, f, "t"), "an answer of another service clears nothing")
@@ -87,21 +87,29 @@
 }
 
 // TestCrashesTrials checks when requests are admitted, while a content that is requested
-// every 100 ms crashes each target that runs it.
+// every 100 ms crashes each target that runs it. A second content may run beside it each time, and so
+// may be the cause as well.
 func TestCrashesTrials(t *testing.T) {
-	c, f := newCrashes(1), Fingerprint{1}
-	var sentAt []time.Duration
-	for now := time.Second; now < 10*time.Minute; now += 100 * time.Millisecond {
-		if c.GrantTrial(now, f) {
-			require.Equal(t, len(sentAt) < 2, c.Admit(now, f) == Pass)
-			sentAt = append(sentAt, now.Truncate(time.Second))
-			c.RecordEnd(now+time.Millisecond, f, end("s", target(), now, now+time.Millisecond, now+time.Millisecond))
-			require.NotEqual(t, Trial, c.Admit(now+time.Millisecond, f))
+	for beside, want := range map[bool][]time.Duration{
+		false: {time.Second, time.Second, time.Second},
+		true:  {time.Second, time.Second, time.Second, 9 * time.Second, 99 * time.Second},
+	} {
+		c, f := newCrashes(1), Fingerprint{1}
+		var sentAt []time.Duration
+		for now := time.Second; now < 10*time.Minute; now += 100 * time.Millisecond {
+			if c.GrantTrial(now, f) {
+				require.Equal(t, len(sentAt) < 2, c.Admit(now, f, false) == Pass)
+				sentAt = append(sentAt, now.Truncate(time.Second))
+				end := end("s", target(), now, now+time.Millisecond, now+time.Millisecond)
+				c.RecordEnd(now+time.Millisecond, f, end)
+				if beside {
+					c.RecordEnd(now+time.Millisecond, Fingerprint{2}, end)
+				}
+				require.NotEqual(t, Trial, c.Admit(now+time.Millisecond, f, false))
+			}
 		}
+		require.Equal(t, want, sentAt, "a second content: %v", beside)
 	}
-	require.Equal(t, []time.Duration{
-		time.Second, time.Second, time.Second, 9 * time.Second, 99 * time.Second,
-	}, sentAt)
 }
 
 // TestAnsweredTrialClearsContent checks that a content is admitted again after a trial that
@@ -110,12 +118,12 @@
 	c, f := newCrashes(1), Fingerprint{1}
 	c.RecordEnd(1, f, end("s", target(), 0, 1, 1))
 	c.RecordEnd(2, f, end("s", target(), 1, 2, 2))
-	require.Equal(t, Trial, c.Admit(2*time.Second, f))
+	require.Equal(t, Trial, c.Admit(2*time.Second, f, false))
 	require.True(t, c.GrantTrial(2*time.Second, f))
-	require.Equal(t, Refuse, c.Admit(2*time.Second, f), "one trial at a time")
+	require.Equal(t, Refuse, c.Admit(2*time.Second, f, false), "one trial at a time")
 	require.False(t, c.GrantTrial(2*time.Second, f))
 	c.RecordAnswer(3*time.Second, f, "s")
-	require.Equal(t, Pass, c.Admit(3*time.Second, f))
+	require.Equal(t, Pass, c.Admit(3*time.Second, f, false))
 }
 
 // TestTrialsOfDifferentContentsAreSpaced guards against a harmless content that ran beside one
@@ -147,15 +155,15 @@
 		for _, e := range c.Updates(now) {
 			requester.Merge(now, &e)
 		}
-		require.Equal(t, Refuse, requester.Admit(now, f))
+		require.Equal(t, Refuse, requester.Admit(now, f, false))
 		now += 10 * time.Millisecond
 		requester.ReturnTrial(now, f)
 		for _, e := range requester.Updates(now) {
 			c.Merge(now, &e)
 		}
-		require.Equal(t, Refuse, c.Admit(now, f))
+		require.Equal(t, Refuse, c.Admit(now, f, false))
 		now += trialBackoff[0]
-		require.Equal(t, Trial, c.Admit(now, f))
+		require.Equal(t, Trial, c.Admit(now, f, false))
 	}
 }
 
@@ -300,8 +308,8 @@
 	for _, e := range c.Records(now) {
 		starting.Merge(time.Millisecond, &e)
 	}
-	require.False(t, starting.GrantTrial(trialBackoff[1]-time.Second, f))
-	require.True(t, starting.GrantTrial(trialBackoff[1]+time.Second, f))
+	require.False(t, starting.GrantTrial(soleCauseBackoff[1]-time.Second, f))
+	require.True(t, starting.GrantTrial(soleCauseBackoff[1]+time.Second, f))
 }
 
 func TestUnanswered(t *testing.T) {
--- a/internal/quarantine/crashrecord.go
+++ b/internal/quarantine/crashrecord.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -25,21 +26,21 @@
 }
 
 // add adds an end unless it is recorded already. If there are more than maxEnds, it first
-// drops those that are not consecutive, and then all but the last maxEnds of the service
-// with the most ends.
+// drops those that are not successive, and then those of the services with the fewest ends.
 func (r *crashRecord) add(end ProcessEnd) {
 	if slices.ContainsFunc(r.ends, func(known ProcessEnd) bool { return known.ID == end.ID }) {
 		return
 	}
+	end.Sent = max(end.Sent, end.Received)
 	r.ends = append(r.ends, end)
 	slices.SortFunc(r.ends, func(a, b ProcessEnd) int {
 		return cmp.Or(cmp.Compare(a.Ended, b.Ended), cmp.Compare(a.ID, b.ID))
 	})
 	if len(r.ends) > maxEnds {
-		r.ends = r.consecutive()
+		r.ends = r.successive()
 	}
 	if len(r.ends) > maxEnds {
-		r.ends = r.latestOfWorstService()
+		r.ends = r.latestOfWorstServices()
 	}
 }
 
@@ -49,16 +50,28 @@
 // their targets. The end of one process counts once, although several requests, also through
 // different hosts, may have been sent to it.
 func (r *crashRecord) consecutive() []ProcessEnd {
+	return r.following(func(end ProcessEnd) time.Duration { return end.Received })
+}
+
+// successive is like consecutive, but counts the attempts of one request if each was sent no earlier
+// than the call of the one before was over.
+func (r *crashRecord) successive() []ProcessEnd {
+	return r.following(func(end ProcessEnd) time.Duration { return end.Sent })
+}
+
+// following returns the ends in each service whose begin is no earlier than the call of the previous such
+// end was over, and the process of which had not ended before.
+func (r *crashRecord) following(begin func(ProcessEnd) time.Duration) []ProcessEnd {
 	var counted []ProcessEnd
 	callEnds := map[string]time.Duration{}
 	endedBy := map[string]time.Duration{}
 	for _, end := range r.ends {
-		if by, known := endedBy[end.Target]; known && end.Received < by {
+		if by, known := endedBy[end.Target]; known && begin(end) < by {
 			callEnds[end.Service] = max(callEnds[end.Service], end.Ended)
 			endedBy[end.Target] = min(by, end.EndedBy)
 			continue
 		}
-		if callEnd, known := callEnds[end.Service]; !known || end.Received >= callEnd {
+		if callEnd, known := callEnds[end.Service]; !known || begin(end) >= callEnd {
 			counted = append(counted, end)
 			callEnds[end.Service] = end.Ended
 			endedBy[end.Target] = end.EndedBy
@@ -67,17 +80,23 @@
 	return counted
 }
 
-// latestOfWorstService returns the last maxEnds ends of the service with the most ends.
-func (r *crashRecord) latestOfWorstService() []ProcessEnd {
-	services := map[string][]ProcessEnd{}
-	var most []ProcessEnd
-	for _, end := range r.ends {
-		services[end.Service] = append(services[end.Service], end)
-		if list := services[end.Service]; len(list) > len(most) {
-			most = list
-		}
+// latestOfWorstServices returns at most maxEnds ends: those of the services with the most ends, and
+// the latest ones of a service of which there is no room for all.
+func (r *crashRecord) latestOfWorstServices() []ProcessEnd {
+	count := countServices(r.ends)
+	worst := slices.SortedFunc(maps.Keys(count), func(a, b string) int {
+		return cmp.Or(cmp.Compare(count[b], count[a]), cmp.Compare(a, b))
+	})
+	room := map[string]int{}
+	left := maxEnds
+	for _, service := range worst {
+		room[service] = min(count[service], left)
+		left -= room[service]
 	}
-	return most[max(len(most)-maxEnds, 0):]
+	return slices.DeleteFunc(r.ends, func(end ProcessEnd) bool {
+		count[end.Service]--
+		return count[end.Service] >= room[end.Service]
+	})
 }
 
 // count returns the number of consecutive ends in the service with the most of them.
@@ -90,14 +109,53 @@
 }
 
 // countByService returns the number of consecutive ends in each service that has any.
-func (r *crashRecord) countByService() map[string]int {
+func (r *crashRecord) countByService() map[string]int { return countServices(r.consecutive()) }
+
+// countServices returns the number of ends in each service.
+func countServices(ends []ProcessEnd) map[string]int {
 	services := map[string]int{}
-	for _, end := range r.consecutive() {
+	for _, end := range ends {
 		services[end.Service]++
 	}
 	return services
 }
 
+// aboveThreshold returns the services with enough ends for a quarantine.
+func aboveThreshold(count map[string]int) []string {
+	var services []string
+	for service, n := range count {
+		if n >= quarantineThreshold {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
+// mayBeQuarantined reports whether the content has enough ends for a quarantine if the attempts of one
+// request count one by one.
+func (r *crashRecord) mayBeQuarantined() bool {
+	return r.count() >= quarantineThreshold || len(aboveThreshold(countServices(r.successive()))) > 0
+}
+
+// sharesAll reports whether the content was unanswered at the ends of all targets of some ends.
+func (r *crashRecord) sharesAll(ends []ProcessEnd) bool {
+	return !slices.ContainsFunc(ends, func(end ProcessEnd) bool { return !r.hasEndOf(end.Target) })
+}
+
+// endedElsewhere reports whether the content was unanswered at the end of a target that other has no end of,
+// at the time of one of some ends.
+func (r *crashRecord) endedElsewhere(other *crashRecord, ends []ProcessEnd) bool {
+	return slices.ContainsFunc(r.ends, func(own ProcessEnd) bool {
+		return !other.hasEndOf(own.Target) && slices.ContainsFunc(ends, func(end ProcessEnd) bool {
+			return (own.Ended - end.Ended).Abs() < simultaneousEnds
+		})
+	})
+}
+
+func (r *crashRecord) hasEndOf(target string) bool {
+	return slices.ContainsFunc(r.ends, func(end ProcessEnd) bool { return end.Target == target })
+}
+
 // recordAnswer records an answer of a service and drops the ends in it up to then. It reports
 // whether it dropped any.
 func (r *crashRecord) recordAnswer(service string, at time.Duration) bool {
@@ -152,19 +210,19 @@
 	return at
 }
 
-// nextTrialAt returns when the next trial is due.
-func (r *crashRecord) nextTrialAt() time.Duration {
+// lastEvent returns when the last end was, or a trial was last granted or returned.
+func (r *crashRecord) lastEvent() time.Duration {
 	last := r.trialsChangedAt
 	if n := len(r.ends); n > 0 {
 		last = max(last, r.ends[n-1].Ended)
 	}
-	return last + trialBackoff[min(r.trials, len(trialBackoff)-1)]
+	return last
 }
 
 func (r *crashRecord) message(now time.Duration, f Fingerprint) CrashRecord {
 	e := CrashRecord{Fingerprint: f, Trials: uint8(min(r.trials, 255)), TrialAge: now - r.trialsChangedAt}
 	for _, end := range r.ends {
-		end.Received, end.Ended, end.EndedBy = now-end.Received, now-end.Ended, now-end.EndedBy
+		end.Received, end.Sent, end.Ended, end.EndedBy = now-end.Received, now-end.Sent, now-end.Ended, now-end.EndedBy
 		e.Ends = append(e.Ends, end)
 	}
 	for service, last := range r.answered {
--- a/internal/quarantine/recent.go
+++ b/internal/quarantine/recent.go
@@ -1,48 +1,48 @@
 package quarantine
 
-// completedSet remembers the contents that completed most recently, in two
-// generations of at most limit contents each.
-type completedSet struct {
+// recentSet remembers the keys that were added most recently, in two
+// generations of at most limit keys each.
+type recentSet[K comparable] struct {
 	limit    int
-	current  map[Fingerprint]struct{}
-	previous map[Fingerprint]struct{}
+	current  map[K]struct{}
+	previous map[K]struct{}
 }
 
-// newCompletedSet returns an empty set that remembers at least limit contents, if as
-// many have completed.
-func newCompletedSet(limit int) completedSet {
-	return completedSet{limit: limit, current: make(map[Fingerprint]struct{}), previous: nil}
+// newRecentSet returns an empty set that remembers at least limit keys, if as
+// many have been added.
+func newRecentSet[K comparable](limit int) recentSet[K] {
+	return recentSet[K]{limit: limit, current: make(map[K]struct{}), previous: nil}
 }
 
-// add adds a content. If the current generation is full, it becomes the previous
-// one, and the contents of the previous one are dropped.
-func (s *completedSet) add(fingerprint Fingerprint) {
-	if _, known := s.current[fingerprint]; known {
+// add adds a key. If the current generation is full, it becomes the previous
+// one, and the keys of the previous one are dropped.
+func (s *recentSet[K]) add(key K) {
+	if _, known := s.current[key]; known {
 		return
 	}
 	if len(s.current) >= s.limit {
 		recycled := s.previous
 		s.previous = s.current
 		if recycled == nil {
-			recycled = make(map[Fingerprint]struct{}, s.limit)
+			recycled = make(map[K]struct{}, s.limit)
 		}
 		clear(recycled)
 		s.current = recycled
 	}
-	s.current[fingerprint] = struct{}{}
+	s.current[key] = struct{}{}
 }
 
-// has reports whether a content is in the set.
-func (s *completedSet) has(fingerprint Fingerprint) bool {
-	if _, known := s.current[fingerprint]; known {
+// has reports whether a key is in the set.
+func (s *recentSet[K]) has(key K) bool {
+	if _, known := s.current[key]; known {
 		return true
 	}
-	_, known := s.previous[fingerprint]
+	_, known := s.previous[key]
 	return known
 }
 
-// remove removes a content from both generations.
-func (s *completedSet) remove(fingerprint Fingerprint) {
-	delete(s.current, fingerprint)
-	delete(s.previous, fingerprint)
+// remove removes a key from both generations.
+func (s *recentSet[K]) remove(key K) {
+	delete(s.current, key)
+	delete(s.previous, key)
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -55,7 +55,7 @@
 type Tracker struct {
 	options   Options
 	records   map[Fingerprint]*record
-	completed completedSet
+	completed recentSet[Fingerprint]
 	// stagingUntil is when contents that are not known to have completed are no
 	// longer staged.
 	stagingUntil time.Duration
@@ -66,7 +66,7 @@
 	return &Tracker{
 		options:   options,
 		records:   make(map[Fingerprint]*record),
-		completed: newCompletedSet(options.MaxCompleted),
+		completed: newRecentSet[Fingerprint](options.MaxCompleted),
 	}
 }
 
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -25,12 +25,18 @@
 	// maxConcurrentChecks bounds the concurrent checks of one leaf; each looks for
 	// connections that were open when it began.
 	maxConcurrentChecks = 3
+	// observeInterval is the minimum time between two observations of the starts of leaves. A leaf that
+	// has ended takes longer to start again.
+	observeInterval = 500 * time.Millisecond
 	// crashCheckTimeout bounds a check of whether the process of a leaf has ended.
 	crashCheckTimeout = 3 * time.Second
 )
 
 // MergeCrashes merges the crash records of another node. It returns the corrections to send back.
 func (h *Handler) MergeCrashes(list []quarantine.CrashRecord) []quarantine.CrashRecord {
+	if len(list) > 0 {
+		h.observeStarts()
+	}
 	var corrections []quarantine.CrashRecord
 	for i := range list {
 		before, after, correction := h.crashes.Merge(h.services.now(), &list[i])
@@ -77,7 +83,7 @@
 		return nil
 	}
 	f := r.contentFingerprint()
-	switch h.crashes.Admit(now, f) {
+	switch h.crashes.Admit(now, f, h.recordsMayLackEnds(now, r)) {
 	case quarantine.Pass:
 		return nil
 	case quarantine.Trial:
@@ -91,6 +97,47 @@
 	return kind.WithRun(kind.Errorf(kind.Quarantined, "content is quarantined: %d leaves in a row ended without answering it", ends), kind.RunNo)
 }
 
+// recordsMayLackEnds reports whether the crash records may lack ends of leaves that a request can reach, as
+// after a loss of all nodes.
+func (h *Handler) recordsMayLackEnds(now time.Duration, r *request) bool {
+	services := slices.Clone(r.route.Shards)
+	for _, s := range r.route.WeightedServices {
+		services = append(services, s.Service)
+	}
+	return h.crashes.MayLackEnds(now, services)
+}
+
+// observeStarts observes the starts of leaves, at most once in observeInterval. It is called when leaves
+// end, before they have started again.
+func (h *Handler) observeStarts() {
+	now := h.services.now()
+	last := h.startsObservedAt.Load()
+	if last > 0 && int64(now)-last < int64(observeInterval) || !h.startsObservedAt.CompareAndSwap(last, int64(now)) {
+		return
+	}
+	ages := map[string][]time.Duration{}
+	for service, leaves := range h.catalog.View().Leaves {
+		for _, leaf := range leaves {
+			// A leaf that does not tell when it started is left out.
+			if leaf.Started > 0 {
+				ages[service] = append(ages[service], time.Since(time.UnixMilli(leaf.Started)))
+			}
+		}
+	}
+	if found := h.crashes.ObserveStarts(now, ages); found > 0 {
+		h.log.Note("leaves have started again before the crash records begin", "", zap.Int("services", found),
+			zap.Duration("reach", h.crashes.Reach(now).Since))
+	}
+}
+
+// CrashReach returns how far back the crash records reach.
+func (h *Handler) CrashReach() quarantine.Reach { return h.crashes.Reach(h.services.now()) }
+
+// ExtendCrashReach records how far back the crash records of another node reach, which have been merged.
+func (h *Handler) ExtendCrashReach(r quarantine.Reach) {
+	h.crashes.ExtendReach(h.services.now(), r)
+}
+
 // trialDeciderKey selects the node that decides on all trials.
 var trialDeciderKey = quarantine.FingerprintOf("", "", "", []byte("trials"))
 
@@ -171,7 +218,8 @@
 func (q *query) mayRepeat() bool {
 	h := q.handler
 	now := h.services.now()
-	return h.crashes.Empty(now) || h.crashes.MayRepeat(now, q.request.contentFingerprint())
+	return h.crashes.Empty(now) ||
+		h.crashes.MayRepeat(now, q.request.contentFingerprint(), h.recordsMayLackEnds(now, q.request))
 }
 
 // recordAnswer clears the content of an attempt that a leaf has answered: earlier crashes in that
@@ -180,10 +228,10 @@
 	f := a.contentFingerprint
 	a.serviceState.clearContent(f)
 	now := h.services.now()
+	before := h.crashes.RecordAnswer(now, f, a.call.service)
 	if h.crashes.Empty(now) {
 		return
 	}
-	before := h.crashes.RecordAnswer(now, f, a.call.service)
 	after := h.crashes.Count(now, f)
 	if before == after {
 		return
@@ -196,6 +244,7 @@
 // recordCrash records the end of a leaf's process against the contents that the leaf had not
 // answered.
 func (h *Handler) recordCrash(service string, leaf catalog.Process, proof string, contents []quarantine.SentContent) {
+	h.observeStarts()
 	now := h.services.now()
 	target := fmt.Sprintf("%s/%d", leaf.ID, leaf.Started)
 	for _, s := range contents {
@@ -203,7 +252,7 @@
 		if callEnd == 0 {
 			callEnd = now
 		}
-		end := quarantine.ProcessEnd{Service: service, Target: target, Received: s.Received, Ended: callEnd, EndedBy: now}
+		end := quarantine.ProcessEnd{Service: service, Target: target, Received: s.Received, Sent: s.SentAt, Ended: callEnd, EndedBy: now}
 		if s.ConnLost {
 			end.EndedBy = callEnd
 		}
--- a/internal/relay/crashes_test.go
+++ b/internal/relay/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -214,3 +215,37 @@
 	}
 	assert.Equal(t, 503, s.do("POST", "/all/x", "bad").status)
 }
+
+// TestContentIsHeldAfterLossOfAllNodes guards against a content that crashes its leaves and is sent as
+// often as an unknown one by nodes which have all been lost: the entries of the leaves show that some have
+// started again before.
+func TestContentIsHeldAfterLossOfAllNodes(t *testing.T) {
+	for name, restarted := range map[string]bool{"leaves have started again before": true, "all leaves started together": false} {
+		t.Run(name, func(t *testing.T) {
+			s := newSetup(t, singleLeafRoutes(true), map[string][]relaytest.Script{"s": make([]relaytest.Script, 6)})
+			var changes []catalog.Change
+			for i, leaf := range s.leaves["s"] {
+				started := time.Now().Add(-time.Hour / 2)
+				if restarted && i < 2 {
+					started = time.Now().Add(-time.Minute)
+				}
+				id := fmt.Sprint("s-", i)
+				changes = append(changes, catalog.Change{Key: id, Revision: 2, Leaf: &catalog.Leaf{
+					ID: id, Service: "s", Address: leaf.Address, DataCentre: "here", Slots: 4, Started: started.UnixMilli(),
+				}})
+			}
+			s.catalog.Merge(0, changes, 2)
+			s.services.Update()
+			s.crashOn("s", "bad")
+			assert.Equal(t, 502, s.do("POST", "/one/x", "bad").status)
+			s.awaitCrashes(2)
+			want, arrivals := 502, 4
+			if restarted {
+				want, arrivals = 503, 2
+			}
+			assert.Equal(t, want, s.do("POST", "/one/x", "bad").status)
+			assert.Equal(t, arrivals, s.arrivals("s"))
+			assert.Equal(t, 200, s.do("POST", "/one/x", "good").status)
+		})
+	}
+}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -69,6 +69,8 @@
 	CallBytes int64
 	// SyncingCrashes reports whether the node still waits for the crash records of its peers.
 	SyncingCrashes func() bool
+	// NodesRanBefore is set if nodes have run, and kept crash records, before this one was started.
+	NodesRanBefore bool
 }
 
 // Handler serves the requests of callers.
@@ -82,6 +84,8 @@
 	metrics  *metrics
 	helpers  helpers
 	crashes  *quarantine.Crashes
+	// startsObservedAt is when the starts of leaves were last observed.
+	startsObservedAt atomic.Int64
 	// callMemory is the memory for the calls in progress and their requests.
 	callMemory *memlimit.Divided
 	// stopping is nil until a planned stop, whose begin closes stopBegun.
@@ -105,7 +109,7 @@
 	h := &Handler{
 		options: o, dialect: d, catalog: c, services: s, routes: newRouteStates(), log: log,
 		metrics: newMetrics(scope), helpers: newHelpers(g), callMemory: memlimit.NewDivided(o.CallBytes), stopBegun: make(chan struct{}),
-		crashes: quarantine.NewCrashes(quarantine.CrashOptions{TTL: crashRecordTTL, MaxRecords: maxCrashRecords, IDBase: rand.Uint64()}),
+		crashes: quarantine.NewCrashes(quarantine.CrashOptions{TTL: crashRecordTTL, MaxRecords: maxCrashRecords, IDBase: rand.Uint64(), AfterLoss: o.NodesRanBefore}),
 	}
 	h.delegation, h.endDelegation = context.WithCancelCause(context.Background())
 	s.onCrash = h.recordCrash
--- a/internal/relaynode/crash_test.go
+++ b/internal/relaynode/crash_test.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/redwingshelf/redwingshelf/internal/catalog"
+	"github.com/redwingshelf/redwingshelf/internal/relay/relaytest"
 )
 
 func singleRoute() *catalog.Route {
@@ -177,3 +178,16 @@
 	}
 	require.NoError(t, group.Wait())
 }
+
+// TestStartingNodeTakesReachOfPeers guards against a node that takes its own start for a loss of all nodes.
+func TestStartingNodeTakesReachOfPeers(t *testing.T) {
+	const head = 300 * time.Millisecond
+	leaf := relaytest.NewLeaf(t, relaytest.Answer(200, "sig", "x"))
+	first := startNode(t, "first", newStore(leaf))
+	first.awaitReady(t)
+	time.Sleep(head)
+	second := startNode(t, "second", newStore(leaf), first.settings.PeerListen)
+	second.awaitReady(t)
+	line := second.logs.FilterMessage("crash records requested from seeds").All()[0].ContextMap()
+	require.Greater(t, line["reach"].(time.Duration), line["after"].(time.Duration)+head)
+}
--- a/internal/relaynode/crashes.go
+++ b/internal/relaynode/crashes.go
@@ -57,7 +57,9 @@
 	Records []quarantine.CrashRecord
 	// Corrections correct records of the request.
 	Corrections []quarantine.CrashRecord
-	Granted     bool
+	// Reach is how far back the crash records of the node reach, if they were requested.
+	Reach   quarantine.Reach
+	Granted bool
 }
 
 // publishCrashes wakes up runCrashPublisher. It does not block.
@@ -72,7 +74,7 @@
 func (n *Node) handleCrashes(req *crashRequest) *crashReply {
 	reply := &crashReply{Corrections: n.handler.MergeCrashes(req.Records)}
 	if req.Fetch {
-		reply.Records = n.handler.Crashes()
+		reply.Records, reply.Reach = n.handler.Crashes(), n.handler.CrashReach()
 	}
 	if req.Trial != nil {
 		reply.Granted = n.handler.GrantTrial(*req.Trial)
@@ -151,6 +153,9 @@
 	}
 	n.handler.MergeCrashes(reply.Records)
 	n.handler.MergeCorrections(reply.Corrections)
+	if req.Fetch {
+		n.handler.ExtendCrashReach(reply.Reach)
+	}
 	return nil
 }
 
@@ -196,8 +201,9 @@
 	ctx, cancel := context.WithTimeout(ctx, initialSyncTimeout)
 	defer cancel()
 	asked, err := n.syncCrashes(ctx, otherAddresses(n.settings.Seeds, n.settings.PeerListen), n.fetchReachable)
-	n.logger.Info("crash records requested from seeds", zap.Int("asked", asked),
-		zap.Duration("after", time.Since(begin)), zap.Error(err))
+	reach := n.handler.CrashReach()
+	n.logger.Info("crash records requested from seeds", zap.Int("asked", asked), zap.Duration("after", time.Since(begin)),
+		zap.Duration("reach", reach.Since), zap.Bool("after_loss", reach.AfterLoss), zap.Error(err))
 	n.markCrashesSynced()
 }
 
--- a/internal/relaynode/node.go
+++ b/internal/relaynode/node.go
@@ -117,6 +117,7 @@
 		RequestRead:  callerconn.RequestRead,
 		CallerMargin: callerMargin, NonIdempotentMaxIdle: nonIdempotentMaxIdle, PublishCrashes: n.publishCrashes, RequestTrial: n.requestTrial,
 		SyncingCrashes: func() bool { return !n.crashesSynced.Load() },
+		NodesRanBefore: s.NodesRanBefore,
 		Quotas:         n.quotas,
 		CallBytes:      int64(callMemoryRatio * float64(dataBytes)),
 		Access: relay.AccessOptions{
--- a/internal/relaynode/settings.go
+++ b/internal/relaynode/settings.go
@@ -24,6 +24,8 @@
 	ReadyPath string
 	// Seeds are peer addresses to join through.
 	Seeds []string
+	// NodesRanBefore is set unless all nodes start for the first time.
+	NodesRanBefore bool
 	// StopGracePeriod is the time from the request to stop until the process is killed.
 	StopGracePeriod time.Duration
 	// MaxApplyDelay is the time within which an accepted table must be in force.
