Take no answer without an ID for that of a request that has one

Cause: an answer without an ID matched every request, and its word that the request had not run was believed.

Change: an answer must have the ID of its request. Others are skipped, as those to another request were already, and the answer that follows is returned.

The stand-in leaves of TestRevokedKeyIsNotSentAgain and TestQuotaRefusesAndGetsCreditsBack refused without an ID, which leaves don't do; they now refuse with it, and what the tests check is unchanged.

--- a/internal/relay/access_test.go
+++ b/internal/relay/access_test.go
@@ -148,7 +148,7 @@
 			script := func(c net.Conn, r *http.Request) bool {
 				if sent.Add(1) == 1 {
 					change(s)
-					return writeRaw("HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", relaytest.HeaderNotRun)(c, r)
+					return relaytest.NotRun(c, r)
 				}
 				return refuse(c, r)
 			}
@@ -205,7 +205,6 @@
 }
 
 func TestQuotaRefusesAndGetsCreditsBack(t *testing.T) {
-	notRun := writeRaw("HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", relaytest.HeaderNotRun)
 	limited := testTenant("acme", "k1")
 	limited.RatePerSecond = 1
 	setUp := func(script relaytest.Script) *setup {
@@ -223,7 +222,7 @@
 		assert.Equal(t, 200, s.do(http.MethodGet, "/one/x", "").status, "a tenant without limit needs no credit")
 	})
 	t.Run("not run", func(t *testing.T) {
-		s := setUp(notRun)
+		s := setUp(relaytest.NotRun)
 		s.access.credits = 1
 		assert.Equal(t, 503, s.do(http.MethodGet, "/one/x", "").status)
 		assert.Equal(t, 1, s.access.returned)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -200,6 +200,30 @@
 	assert.Equal(t, "mine", got.body)
 }
 
+// TestAnswerWithoutIDIsNoRefusal guards against a request that runs twice because bytes without an ID, which
+// precede its answer, are taken for the word of the leaf that it has not run.
+func TestAnswerWithoutIDIsNoRefusal(t *testing.T) {
+	for name, extra := range map[string]string{
+		"not run":    "HTTP/1.1 503 Full\r\n" + relaytest.HeaderNotRun + ": 1\r\nContent-Length: 0\r\n\r\n",
+		"wrong leaf": "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+		"success":    "HTTP/1.1 200 OK\r\n" + relaytest.HeaderSigned + ": sig-x\r\nContent-Length: 10\r\n\r\nnot yours!",
+	} {
+		t.Run(name, func(t *testing.T) {
+			spoiled := func(c net.Conn, r *http.Request) bool {
+				_, err := fmt.Fprint(c, extra+relaytest.Response(200, r.Header.Get(relaytest.HeaderID), "sig", "mine"))
+				return err == nil
+			}
+			for _, method := range []string{http.MethodPost, http.MethodGet} {
+				s := newSetup(t, singleLeafRoutes(method == http.MethodGet), map[string][]relaytest.Script{"s": {spoiled, spoiled}})
+				got := s.do(method, "/one/x", "")
+				assert.Equal(t, 200, got.status)
+				assert.Equal(t, "mine", got.body)
+				assert.Equal(t, 1, s.arrivals("s"), "leaves that have run the request")
+			}
+		})
+	}
+}
+
 // TestUnsolicitedAnswerEndsConnection expects that a second answer to a request is not taken
 // for the answer to the next request on the connection.
 func TestUnsolicitedAnswerEndsConnection(t *testing.T) {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -58,8 +58,9 @@
 	InvalidQuiet string
 }
 
-// Matches reports whether the answer can belong to the request with the given ID.
-func (a *LeafAnswer) Matches(id string) bool { return a.ID == "" || a.ID == id }
+// Matches reports whether the answer belongs to the request with the given ID. Leaves return the ID of the
+// request with each answer, so that bytes without it are no answer to a request that has one.
+func (a *LeafAnswer) Matches(id string) bool { return a.ID == id }
 
 // request is one caller's request.
 type request struct {
