--- a/internal/quarantine/crashes.go
+++ b/internal/quarantine/crashes.go
@@ -30,8 +30,8 @@
 
 // trialBackoff holds the delays before the next trial, by the number of trials so far; the
 // last one repeats. The delay starts at the last end, or when a trial was last granted or
-// returned. soleCauseBackoff takes its place if the content is the sole cause. Its first delay is left out
-// if moreover the records may lack earlier ends.
+// returned. soleCauseBackoff takes its place if the content is the sole cause of its ends. Its first delay is
+// left out if moreover the records may lack earlier ends.
 var (
 	trialBackoff     = []time.Duration{500 * time.Millisecond, 8 * time.Second, 90 * time.Second, 10 * time.Minute}
 	soleCauseBackoff = []time.Duration{500 * time.Millisecond, 10 * time.Minute}
@@ -136,8 +136,11 @@
 
 // NewCrashes returns empty Crashes that begin at time zero.
 func NewCrashes(o CrashOptions) *Crashes {
-	return &Crashes{options: o, records: map[Fingerprint]*crashRecord{}, updates: map[Fingerprint]struct{}{}, lastID: o.IDBase, lastGrant: distantPast, afterLoss: o.AfterLoss,
-		answered: newRecentSet[answeredContent](maxAnswered), firstStart: distantFuture, restarts: map[string]time.Duration{}}
+	return &Crashes{
+		options: o, records: map[Fingerprint]*crashRecord{}, updates: map[Fingerprint]struct{}{}, lastID: o.IDBase,
+		answered: newRecentSet[answeredContent](maxAnswered), lastGrant: distantPast, afterLoss: o.AfterLoss,
+		firstStart: distantFuture, restarts: map[string]time.Duration{},
+	}
 }
 
 // Empty reports whether there are no unexpired records.
@@ -187,7 +190,7 @@
 	if suspects := aboveThreshold(r.countByService()); len(suspects) > 0 {
 		return suspects
 	}
-	return aboveThreshold(countServices(r.successive()))
+	return r.successiveSuspects()
 }
 
 // Count returns the number of consecutive ends in the service with the most of them.
@@ -237,6 +240,7 @@
 	if c.isSoleCause(now, f, r) {
 		backoff = soleCauseBackoff
 		if cautious {
+			// The trial may have been granted before the records were lost.
 			trials++
 		}
 	}
@@ -248,7 +252,7 @@
 // unanswered at all of them, and no target that did not run the content has ended at the same time. mu is
 // held.
 func (c *Crashes) isSoleCause(now time.Duration, f Fingerprint, r *crashRecord) bool {
-	suspects := aboveThreshold(countServices(r.successive()))
+	suspects := r.successiveSuspects()
 	if slices.ContainsFunc(suspects, func(service string) bool { return c.answered.has(answeredContent{f, service}) }) {
 		return false
 	}
--- a/internal/quarantine/crashrecord.go
+++ b/internal/quarantine/crashrecord.go
@@ -59,8 +59,8 @@
 	return r.following(func(end ProcessEnd) time.Duration { return end.Sent })
 }
 
-// following returns the ends in each service whose begin is no earlier than the call of the previous such
-// end was over, and the process of which had not ended before.
+// following returns the ends in each service whose calls began, as begin tells, no earlier than the call of
+// the previous such end was over. The end of one process counts once.
 func (r *crashRecord) following(begin func(ProcessEnd) time.Duration) []ProcessEnd {
 	var counted []ProcessEnd
 	callEnds := map[string]time.Duration{}
@@ -134,7 +134,12 @@
 // mayBeQuarantined reports whether the content has enough ends for a quarantine if the attempts of one
 // request count one by one.
 func (r *crashRecord) mayBeQuarantined() bool {
-	return r.count() >= quarantineThreshold || len(aboveThreshold(countServices(r.successive()))) > 0
+	return r.count() >= quarantineThreshold || len(r.successiveSuspects()) > 0
+}
+
+// successiveSuspects returns the services with enough successive ends for a quarantine.
+func (r *crashRecord) successiveSuspects() []string {
+	return aboveThreshold(countServices(r.successive()))
 }
 
 // sharesAll reports whether the content was unanswered at the ends of all targets of some ends.
@@ -142,8 +147,8 @@
 	return !slices.ContainsFunc(ends, func(end ProcessEnd) bool { return !r.hasEndOf(end.Target) })
 }
 
-// endedElsewhere reports whether the content was unanswered at the end of a target that other has no end of,
-// at the time of one of some ends.
+// endedElsewhere reports whether the content was unanswered when a target ended of which other has no end,
+// at the time of one of other's ends.
 func (r *crashRecord) endedElsewhere(other *crashRecord, ends []ProcessEnd) bool {
 	return slices.ContainsFunc(r.ends, func(own ProcessEnd) bool {
 		return !other.hasEndOf(own.Target) && slices.ContainsFunc(ends, func(end ProcessEnd) bool {
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -107,8 +107,8 @@
 	return h.crashes.MayLackEnds(now, services)
 }
 
-// observeStarts observes the starts of leaves, at most once in observeInterval. It is called when leaves
-// end, before they have started again.
+// observeStarts records which leaves have started again, at most once in observeInterval. It is called when
+// leaves end, since their entries are replaced when they have started once more.
 func (h *Handler) observeStarts() {
 	now := h.services.now()
 	last := h.startsObservedAt.Load()
