--- a/review/_standin-3/proxy.go
+++ b/review/_standin-3/proxy.go
@@ -6,82 +6,57 @@
 	"net/http/httputil"
 	"net/url"
 	"sync"
-	"time"
 )
 
-// gate passes the calls of one node to the store. While it is cut, the address refuses connections and those
-// that were open are reset.
+// gate passes the calls of one node to the store. While it is cut, no request of the node gets through, silently;
+// answers of the store still reach the node, and what the node still waits for gets through after the cut.
 type gate struct {
-	address, target string
-	mu              sync.Mutex
-	server          *http.Server
-	listener        net.Listener
-	conns           map[net.Conn]bool
+	address string
+	mu      sync.Mutex
+	// open is closed while requests get through.
+	open chan struct{}
 	// watches counts the watches that the node has begun.
 	watches int
 }
 
 func newGate(address, target string) (*gate, error) {
-	g := &gate{address: address, target: target}
-	return g, g.open()
-}
-
-func (g *gate) open() error {
-	l, err := net.Listen("tcp", g.address)
+	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.address, g.listener, g.conns = l.Addr().String(), l, map[net.Conn]bool{}
-	conns := g.conns
-	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: g.target})
+	g := &gate{address: l.Addr().String(), open: make(chan struct{})}
+	close(g.open)
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: target})
 	proxy.ErrorHandler = func(http.ResponseWriter, *http.Request, error) { panic(http.ErrAbortHandler) }
-	g.server = &http.Server{
-		ErrorLog: quietLog(),
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/redwingshelf/kv-watch" {
-				g.mu.Lock()
-				g.watches++
-				g.mu.Unlock()
-			}
+	server := &http.Server{ErrorLog: quietLog(), Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.mu.Lock()
+		open := g.open
+		if r.URL.Path == "/redwingshelf/kv-watch" {
+			g.watches++
+		}
+		g.mu.Unlock()
+		select {
+		case <-open:
 			proxy.ServeHTTP(w, r)
-		}),
-		ConnState: func(c net.Conn, s http.ConnState) {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			if s == http.StateNew {
-				conns[c] = true
-			} else if s == http.StateClosed {
-				delete(conns, c)
-			}
-		},
-	}
-	go func(s *http.Server) { _ = s.Serve(l) }(g.server)
-	return nil
+		case <-r.Context().Done():
+		}
+	})}
+	go func() { _ = server.Serve(l) }()
+	return g, nil
 }
 
-// cut refuses the node.
+// cut holds all requests that the node sends from now on.
 func (g *gate) cut() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_ = g.listener.Close()
-	for c := range g.conns {
-		reset(c)
-	}
-	go func(s *http.Server) { _ = s.Close() }(g.server)
+	g.open = make(chan struct{})
 }
 
-// heal lets the node pass again. The port is taken again at once.
-func (g *gate) heal() error {
-	var err error
-	for range 50 {
-		if err = g.open(); err == nil {
-			return nil
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	return err
+// heal lets requests through again, those that are held too.
+func (g *gate) heal() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.open)
 }
 
 func (g *gate) watched() int {
